--- /dev/null
+++ b/src/cloud/client.ts
@@ -0,0 +1,81 @@
+/** The client of the cloud: one budget, checked answers, and failures told apart from refusals. */
+import type { z } from "zod";
+import { Budget } from "../runtime/budget.js";
+import type { SteadyClock } from "../runtime/clock.js";
+import { JsonHttp, NoAnswer } from "../runtime/http-client.js";
+import {
+  MAX_LIST,
+  catalogueSchema,
+  cloudReturnToWire,
+  machineListSchema,
+  paths,
+  rentalSchema,
+  rentalToWire,
+  type ListedMachine,
+  type MachineType,
+  type RentalRequest,
+} from "../wire/index.js";
+
+/** The cloud gave no usable answer; what was asked may be carried out, now or later. */
+export class CloudFailure extends Error {}
+
+export type Rental = { kind: "rented"; hosts: string[] } | { kind: "no_capacity" } | { kind: "malformed" };
+
+export class CloudClient {
+  private readonly budget: Budget;
+
+  constructor(
+    private readonly http: JsonHttp,
+    rps: number,
+    clock: SteadyClock,
+    private readonly timeoutMs: number,
+  ) {
+    this.budget = new Budget(rps, rps, clock);
+  }
+
+  /** Whether a call may go out now. Only the leader calls, so the whole rate is its own. */
+  mayCall(): boolean {
+    return this.budget.tryTake(1);
+  }
+
+  async types(): Promise<MachineType[]> {
+    const answer = await this.send("GET", paths.cloud.types, undefined);
+    return this.checked(catalogueSchema, answer.status === 200 ? answer.body : undefined);
+  }
+
+  async rent(request: RentalRequest): Promise<Rental> {
+    const answer = await this.send("POST", paths.cloud.rent, rentalToWire(request));
+    if (answer.status === 200) return { kind: "rented", hosts: this.checked(rentalSchema, answer.body) };
+    if (answer.status === 400) return { kind: "malformed" };
+    const reason = (answer.body as { error?: unknown } | undefined)?.error;
+    // An outage is a 503 as well; only this text says that the answer is about capacity.
+    if (answer.status === 503 && reason === "no capacity") return { kind: "no_capacity" };
+    throw new CloudFailure(`rental: status ${answer.status}`);
+  }
+
+  /** Once this returns, the machines and all that ran on them are gone. */
+  async giveBack(hosts: string[]): Promise<void> {
+    const answer = await this.send("POST", paths.cloud.giveBack, cloudReturnToWire(hosts));
+    if (answer.status !== 200) throw new CloudFailure(`return: status ${answer.status}`);
+  }
+
+  async list(after: string | undefined): Promise<{ machines: ListedMachine[]; more: boolean }> {
+    const answer = await this.send("GET", paths.cloud.list(after, MAX_LIST), undefined);
+    return this.checked(machineListSchema, answer.status === 200 ? answer.body : undefined);
+  }
+
+  private checked<T>(schema: z.ZodType<T>, body: unknown): T {
+    const result = schema.safeParse(body);
+    if (!result.success) throw new CloudFailure("the cloud gave no usable answer");
+    return result.data;
+  }
+
+  private async send(method: string, path: string, body: unknown) {
+    try {
+      return await this.http.call(method, path, body, this.timeoutMs);
+    } catch (err) {
+      if (err instanceof NoAnswer) throw new CloudFailure(err.message);
+      throw err;
+    }
+  }
+}
--- /dev/null
+++ b/src/config/hcl-to-json.d.ts
@@ -0,0 +1,3 @@
+declare module "hcl-to-json" {
+  export default function parseHcl(text: string): unknown;
+}
--- /dev/null
+++ b/src/config/operator.ts
@@ -0,0 +1,51 @@
+/** The operators' own settings, in HCL: caps and the figures of the design that are open to tuning. */
+import { z } from "zod";
+import { check } from "../wire/index.js";
+import { readText, SettingsError } from "./settings.js";
+
+const schema = z
+  .strictObject({
+    sizing: z
+      .strictObject({
+        /** The most machines that may be rented at a time. */
+        max_machines: z.int().positive().default(500),
+        /** The most tasks that sizing rents for at a time. */
+        max_tasks: z.int().positive().default(100_000),
+        /** How long a machine must stand empty before it is given back. */
+        idle_wait_s: z.number().positive().default(30),
+        /** The least time between two passes. */
+        pass_spacing_s: z.number().positive().default(1),
+        /** How often the leader may move a share to another controller. */
+        share_period_s: z.number().positive().default(30),
+      })
+      .prefault({}),
+  })
+  .transform((file) => ({
+    maxMachines: file.sizing.max_machines,
+    maxTasks: file.sizing.max_tasks,
+    idleWaitMs: file.sizing.idle_wait_s * 1000,
+    passSpacingMs: file.sizing.pass_spacing_s * 1000,
+    sharePeriodMs: file.sizing.share_period_s * 1000,
+  }));
+
+export type OperatorSettings = z.infer<typeof schema>;
+
+export function checkOperatorSettings(raw: unknown): OperatorSettings {
+  const result = check(schema, raw);
+  if (!result.ok) throw new SettingsError(result.error);
+  return result.value;
+}
+
+/** Reads the file if there is one. The parser is loaded only then: most installations go without. */
+export async function readOperatorSettings(file: string | undefined): Promise<OperatorSettings> {
+  if (file === undefined) return checkOperatorSettings({});
+  const { default: parseHcl } = await import("hcl-to-json");
+  let raw: unknown;
+  try {
+    raw = parseHcl(readText(file));
+  } catch (err) {
+    if (err instanceof SettingsError) throw err;
+    throw new SettingsError(`${file} is not HCL: ${(err as Error).message.split("\n")[0]}`);
+  }
+  return checkOperatorSettings(raw);
+}
--- /dev/null
+++ b/src/controller.ts
@@ -0,0 +1,298 @@
+/** One controller: makes the actors and connects them. */
+import { randomUUID } from "node:crypto";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { pipeline } from "node:stream";
+import { CloudClient } from "./cloud/client.js";
+import type { OperatorSettings } from "./config/operator.js";
+import type { Settings } from "./config/settings.js";
+import { createApp, type Routed } from "./http/app.js";
+import { JobService } from "./jobs/service.js";
+import { Membership } from "./membership/membership.js";
+import type { PeerReply, PeerRequest, Summary } from "./peers/messages.js";
+import { Peers } from "./peers/links.js";
+import { Share } from "./placement/share.js";
+import { ShareKeeper, type ReportAnswer } from "./placement/share-keeper.js";
+import { steadyClock } from "./runtime/clock.js";
+import { JsonHttp } from "./runtime/http-client.js";
+import type { Logger } from "./runtime/log.js";
+import { Sizer } from "./sizing/sizer.js";
+import { StateClient } from "./state/client.js";
+import { changeFeed } from "./state/feed.js";
+import { LIVE, keys, prefixes } from "./state/keys.js";
+import { Replica } from "./state/replica.js";
+import { REPORT_TIMEOUT_S, type Change, type MachineType, type WorkerReport } from "./wire/index.js";
+import { readMachine } from "./workers/records.js";
+
+export interface Running {
+  port: number;
+  peerPort: number;
+  close(): void;
+}
+
+const NOTHING: PeerReply = { accepted: { hosts: [] } };
+
+/** What the figures of the settings come to for this program; each is a ratio to one of them, with its reason. */
+export function deriveFigures(settings: Settings, operator: OperatorSettings) {
+  const { leaseMs, reportMs, cancelMs } = settings.workers;
+  const holdMs = Math.round(leaseMs / 2);
+  return {
+    /** Half a lease: after an owner's silent end there is time to find another before its workers give up. */
+    holdMs,
+    /** Time between checking a right and acting on it, on a machine with a part of a core. */
+    marginMs: holdMs / 10,
+    /** A cancelled task must be gone in time even where the last renewal was made on the oldest allowed view. */
+    staleMs: cancelMs - leaseMs - 2 * reportMs,
+    sharePeriodMs: operator.sharePeriodMs,
+    /** Calls to the state service take milliseconds; four of these fit into a hold. */
+    callMs: holdMs / 5,
+    /** Peers answer at once or not in time for a user. */
+    peerMs: Math.min(holdMs / 10, (REPORT_TIMEOUT_S * 1000) / 8),
+    feedWaitMs: reportMs,
+    feedSpacingMs: reportMs / 20,
+    tickMs: reportMs / 8,
+    /** A round of placing may take so much of the time between two reports of one worker. */
+    roundMs: reportMs / 50,
+  };
+}
+
+export class Controller {
+  private readonly replica = new Replica();
+  private readonly state: StateClient;
+  private readonly membership: Membership;
+  private readonly sizer: Sizer;
+  private readonly peers: Peers;
+  private readonly jobs: JobService;
+  private readonly keepers = new Map<number, { keeper: ShareKeeper; share: Share }>();
+  private readonly figures: ReturnType<typeof deriveFigures>;
+  private typesByName = new Map<string, MachineType>();
+  private ticker: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly operator: OperatorSettings,
+    private readonly log: Logger,
+  ) {
+    const figures = (this.figures = deriveFigures(settings, operator));
+    const sockets = Math.max(4, Math.floor(settings.sockets / 50));
+    this.state = new StateClient(
+      new JsonHttp(settings.stateAddress, sockets),
+      new JsonHttp(settings.stateAddress, 2),
+      settings.state,
+      settings.controllers,
+      steadyClock,
+      figures.callMs,
+    );
+    const cloud = new CloudClient(
+      new JsonHttp(settings.cloudAddress, 4),
+      settings.cloud.rps,
+      steadyClock,
+      // A call to the cloud takes a good part of a second; a lost one is sent again under the same name.
+      REPORT_TIMEOUT_S * 1000,
+    );
+    this.peers = new Peers(settings.peers, figures.peerMs, log);
+    this.membership = new Membership(
+      { node: settings.node, incarnation: randomUUID() },
+      settings.controllers,
+      settings.controllers,
+      figures,
+      this.state,
+      this.replica,
+      steadyClock,
+      {
+        ownership: () => this.followOwnership(),
+        askHandOver: (owner, share, to) =>
+          void this.askNode(owner, { handOver: { share, to } }).catch(() => undefined),
+      },
+      log,
+    );
+    this.sizer = new Sizer(
+      settings,
+      operator,
+      cloud,
+      this.state,
+      this.replica,
+      steadyClock,
+      {
+        leadership: () => this.membership.leadership(),
+        askOwner: (share, request) => this.askNode(this.membership.owner(share), request),
+      },
+      log,
+    );
+    this.jobs = new JobService(
+      settings,
+      this.state,
+      this.replica,
+      () => this.typesByName,
+      (share, job) => this.countsOf(share, job),
+      log,
+    );
+    this.replica.onChange((changes) => this.follow(changes));
+  }
+
+  async start(): Promise<Running> {
+    const { figures } = this;
+    const pace = {
+      waitMs: figures.feedWaitMs,
+      spacingMs: figures.feedSpacingMs,
+      retryMs: figures.feedSpacingMs * 4,
+    };
+    const feed = changeFeed(this.state, LIVE, pace, steadyClock, this.log);
+    pipeline(feed, this.replica, (err) => {
+      if (err && this.ticker !== null) this.log.error({ err }, "the feed of records ended");
+    });
+    this.ticker = setInterval(() => this.tick(), figures.tickMs);
+    this.membership.tell({ kind: "tick" });
+    const peerPort = await this.peers.listen(this.settings.peerListen, (request) => this.answerPeer(request));
+    const app = createApp({
+      jobs: this.jobs,
+      report: (report) => this.routeReport(report),
+      healthy: () => this.replica.asOf > -Infinity,
+      log: this.log,
+    });
+    const server = createServer(app.callback());
+    // Users and workers keep their connections; closing them between two polls costs both sides.
+    server.keepAliveTimeout = 2 * this.settings.workers.cancelMs;
+    const colon = this.settings.listen.lastIndexOf(":");
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(
+        Number(this.settings.listen.slice(colon + 1)),
+        this.settings.listen.slice(0, colon),
+        resolve,
+      );
+    });
+    const port = (server.address() as AddressInfo).port;
+    this.log.info({ port, peerPort }, "listening");
+    return {
+      port,
+      peerPort,
+      close: () => {
+        if (this.ticker !== null) clearInterval(this.ticker);
+        this.ticker = null;
+        feed.destroy();
+        this.peers.close();
+        server.closeAllConnections();
+        server.close();
+      },
+    };
+  }
+
+  private tick(): void {
+    this.membership.tell({ kind: "tick" });
+    for (const { keeper } of this.keepers.values()) keeper.tell({ kind: "tick" });
+    this.sizer.tell({ kind: "tick" });
+  }
+
+  private follow(changes: Change[] | null): void {
+    if (changes === null || changes.some((c) => c.key.startsWith(prefixes.types)))
+      this.typesByName = new Map(
+        this.replica
+          .under(prefixes.types)
+          .map((entry) => [(entry.value as MachineType).name, entry.value as MachineType]),
+      );
+    for (const { keeper } of this.keepers.values()) keeper.tell({ kind: "records", changes });
+    if (changes === null || changes.some((c) => !c.key.startsWith(prefixes.jobs)))
+      this.membership.tell({ kind: "records" });
+  }
+
+  /** Starts keepers for shares that have become ours and drops those of shares that have not stayed so. */
+  private followOwnership(): void {
+    const { cluster, me } = this.membership;
+    cluster.shares.forEach((record, n) => {
+      const ours = record !== null && record.node === me.node && record.incarnation === me.incarnation;
+      const kept = this.keepers.get(n);
+      if (!ours && kept) {
+        this.keepers.delete(n);
+        this.log.info({ share: n, owner: record?.node }, "share lost");
+      } else if (ours && !kept) {
+        this.keepers.set(n, this.keep(n, record.version));
+        this.log.info({ share: n, token: record.version }, "share owned");
+      }
+    });
+  }
+
+  private keep(n: number, token: number): { keeper: ShareKeeper; share: Share } {
+    const share = new Share(
+      n,
+      token,
+      steadyClock(),
+      this.settings,
+      () => this.typesByName,
+      this.replica,
+      this.log,
+    );
+    const figures = { roundMs: this.figures.roundMs, spacingMs: this.operator.passSpacingMs };
+    const hooks = {
+      token: () => this.membership.token(n),
+      raiseToken: () => void this.membership.tell({ kind: "raise", share: n }),
+      summary: (summary: Summary) => this.sendSummary(summary),
+    };
+    const keeper = new ShareKeeper(share, figures, this.state, this.replica, steadyClock, hooks, this.log);
+    return { keeper, share };
+  }
+
+  private sendSummary(summary: Summary): void {
+    const leader = this.membership.leader();
+    if (leader !== null) this.askNode(leader, { summary }).catch(() => undefined);
+  }
+
+  private askNode(node: string | null, request: PeerRequest): Promise<PeerReply> {
+    if (node === this.settings.node) return this.answerPeer(request);
+    return node === null ? Promise.resolve(NOTHING) : this.peers.ask(node, request);
+  }
+
+  private async answerPeer(request: PeerRequest): Promise<PeerReply> {
+    if ("summary" in request) {
+      await this.sizer.ask<boolean>((reply) => ({ kind: "summary", summary: request.summary, reply }));
+      return NOTHING;
+    }
+    if ("handOver" in request) {
+      this.membership.tell({ kind: "hand_over", ...request.handOver });
+      return NOTHING;
+    }
+    if ("lookup" in request) {
+      const { share, job } = request.lookup;
+      const kept = this.keepers.get(share)?.keeper;
+      if (kept === undefined) return { counts: { known: false, done: 0, running: 0 } };
+      return { counts: await kept.ask((reply) => ({ kind: "counts", job, reply })) };
+    }
+    const message = "drain" in request ? request.drain : request.give;
+    const keeper = this.keepers.get(message.share)?.keeper;
+    if (keeper === undefined) return NOTHING;
+    const hosts = await keeper.ask<string[]>((reply) =>
+      "drain" in request
+        ? { kind: "drain", hosts: request.drain.hosts, reply }
+        : { kind: "give", to: request.give.to, hosts: request.give.hosts, reply },
+    );
+    return { accepted: { hosts } };
+  }
+
+  private async countsOf(share: number, job: string): Promise<{ done: number; running: number } | null> {
+    const reply = await this.askNode(this.membership.owner(share), { lookup: { share, job } }).catch(
+      () => null,
+    );
+    return reply !== null && "counts" in reply && reply.counts.known ? reply.counts : null;
+  }
+
+  private async routeReport(report: WorkerReport): Promise<Routed> {
+    const record = readMachine(this.replica.get(keys.machine(report.host))?.value);
+    if (record === null) {
+      // Only the leader gives machines to shares; the worker comes again until it has.
+      const leader = this.membership.leader();
+      if (leader !== this.settings.node) return { kind: "redirect", owner: leader };
+      const { host, type, zone, spot } = report;
+      this.sizer.tell({ kind: "unknown_machine", host, type, zone, spot });
+      return { kind: "redirect", owner: null };
+    }
+    const kept = this.keepers.get(record.share)?.keeper;
+    if (kept === undefined || kept.writableNeedDrain) return this.redirect(record.share);
+    const answer = await kept.ask<ReportAnswer>((reply) => ({ kind: "report", report, reply }));
+    return answer.kind === "commands" ? answer : this.redirect(record.share);
+  }
+
+  private redirect(share: number): Routed {
+    const owner = this.membership.owner(share);
+    return { kind: "redirect", owner: owner === this.settings.node ? null : owner };
+  }
+}
--- /dev/null
+++ b/src/jobs/service.ts
@@ -0,0 +1,142 @@
+/**
+ * What users may ask: submit, look, cancel. Any node answers: the records decide, and nothing is said to a user
+ * before the record says it.
+ */
+import { LRUCache } from "lru-cache";
+import type { Settings } from "../config/settings.js";
+import { StateFailure, type StateClient } from "../state/client.js";
+import { keys, prefixes } from "../state/keys.js";
+import type { ReplicaView } from "../state/replica.js";
+import type { Logger } from "../runtime/log.js";
+import type { JobSpec, JobStage, JobStatus, MachineType } from "../wire/index.js";
+import { admit } from "./admission.js";
+import { Bits } from "./bits.js";
+import { readDone, readEnded, readJob, shareOf, type EndedRecord, type JobRecord } from "./records.js";
+
+export type SubmitResult =
+  | { kind: "accepted"; stage: JobStage; fresh: boolean }
+  | { kind: "malformed" | "impossible"; reason: string }
+  | { kind: "unavailable" };
+
+export type LookResult = { kind: "found"; status: JobStatus } | { kind: "unknown" } | { kind: "unavailable" };
+
+/** Counts for display, from the share's owner; null where it does not answer. */
+export type CountsOf = (share: number, job: string) => Promise<{ done: number; running: number } | null>;
+
+const REMEMBERED = 10_000;
+const CANCEL_TRIES = 4;
+
+export class JobService {
+  /** Final states never change, so that they may be answered from memory. */
+  private readonly ended = new LRUCache<string, EndedRecord>({ max: REMEMBERED });
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly state: StateClient,
+    private readonly view: ReplicaView,
+    private readonly types: () => Map<string, MachineType>,
+    private readonly countsOf: CountsOf,
+    private readonly log: Logger,
+  ) {}
+
+  async submit(spec: JobSpec): Promise<SubmitResult> {
+    const types = [...this.types().values()];
+    return this.guarded(async (): Promise<SubmitResult> => {
+      const admission = types.length === 0 ? null : admit(spec, this.settings, types);
+      if (admission === null || admission.kind !== "ok") {
+        // A job that was accepted once stays accepted, whatever the types or a repeat say by now.
+        const known = await this.look(spec.id);
+        if (known.kind === "found") return { kind: "accepted", stage: known.status.stage, fresh: false };
+        return admission === null || known.kind === "unavailable" ? { kind: "unavailable" } : admission;
+      }
+      const record: JobRecord = { spec, acceptedAt: Date.now() };
+      const commit = await this.state.commit(
+        [
+          { key: keys.job(spec.id), version: 0 },
+          { key: keys.ended(spec.id), version: 0 },
+        ],
+        [{ put: keys.job(spec.id), value: record }],
+      );
+      if (commit.ok) return { kind: "accepted", stage: "pending", fresh: true };
+      const known = await this.look(spec.id);
+      if (known.kind === "found") return { kind: "accepted", stage: known.status.stage, fresh: false };
+      return { kind: "unavailable" };
+    });
+  }
+
+  async look(id: string): Promise<LookResult> {
+    const final = this.ended.get(id);
+    if (final !== undefined) return { kind: "found", status: endedStatus(id, final) };
+    return this.guarded(async (): Promise<LookResult> => {
+      // The record is read each time: another node may have told a later state than our copy shows.
+      const entry = await this.state.read(keys.job(id));
+      // A job goes from live to ended in one step, so that looking in this order cannot miss it.
+      if (entry === null) return this.lookEnded(id);
+      const job = readJob(entry.value);
+      if (job === null) return { kind: "unavailable" };
+      const share = shareOf(job.spec, this.settings.teams, this.settings.controllers);
+      const counts = (await this.countsOf(share, id)) ?? {
+        done: this.durablyDone(id, job.spec.tasks),
+        running: 0,
+      };
+      const done = Math.min(counts.done, job.spec.tasks);
+      return {
+        kind: "found",
+        status: { id, stage: counts.running > 0 ? "running" : "pending", done, running: counts.running },
+      };
+    });
+  }
+
+  async cancel(id: string): Promise<LookResult> {
+    return this.guarded(async (): Promise<LookResult> => {
+      for (let i = 0; i < CANCEL_TRIES; i++) {
+        const entry = await this.state.read(keys.job(id));
+        if (entry === null) return this.lookEnded(id);
+        const tasks = readJob(entry.value)?.spec.tasks ?? 0;
+        const ended: EndedRecord = { stage: "cancelled", done: this.durablyDone(id, tasks) };
+        // Whoever changes the job's record first wins: a completion on its way then fails, or this does.
+        const commit = await this.state.commit(
+          [{ key: keys.job(id), version: entry.version }],
+          [{ put: keys.ended(id), value: ended }, { remove: keys.job(id) }],
+        );
+        if (!commit.ok) continue;
+        this.log.info({ job: id }, "job cancelled");
+        this.ended.set(id, ended);
+        return { kind: "found", status: endedStatus(id, ended) };
+      }
+      return { kind: "unavailable" };
+    });
+  }
+
+  private async lookEnded(id: string): Promise<LookResult> {
+    const entry = await this.state.read(keys.ended(id));
+    if (entry === null) return { kind: "unknown" };
+    const ended = readEnded(entry.value);
+    if (ended === null) return { kind: "unavailable" };
+    this.ended.set(id, ended);
+    return { kind: "found", status: endedStatus(id, ended) };
+  }
+
+  private durablyDone(id: string, tasks: number): number {
+    const bits = new Bits(tasks);
+    for (const entry of this.view.under(`${prefixes.done}${id}/`)) {
+      const text = readDone(entry.value);
+      if (text !== null) bits.mergeChunk(Number(entry.key.slice(entry.key.lastIndexOf("/") + 1)), text);
+    }
+    return bits.count;
+  }
+
+  private async guarded<R>(work: () => Promise<R>): Promise<R | { kind: "unavailable" }> {
+    try {
+      return await work();
+    } catch (err) {
+      if (!(err instanceof StateFailure)) throw err;
+      this.log.debug({ err: err.message }, "state service does not answer a user's request");
+      return { kind: "unavailable" };
+    }
+  }
+}
+
+function endedStatus(id: string, ended: EndedRecord): JobStatus {
+  return { id, stage: ended.stage, done: ended.done, running: 0 };
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,71 @@
+#!/usr/bin/env node
+/** The command line. */
+import { readFileSync } from "node:fs";
+import { Command } from "commander";
+import { readOperatorSettings } from "./config/operator.js";
+import { parseSettings, readText, SettingsError } from "./config/settings.js";
+import { Controller } from "./controller.js";
+import { createLogger } from "./runtime/log.js";
+
+/** The exit code for settings that cannot be used. */
+const BAD_SETTINGS = 2;
+
+interface Files {
+  config: string;
+  operator?: string;
+}
+
+function needFiles(options: Partial<Files>): Files {
+  if (options.config === undefined) throw new SettingsError("--config <file> is needed");
+  return { ...options, config: options.config };
+}
+
+async function load(files: Files) {
+  return {
+    settings: parseSettings(readText(files.config)),
+    operator: await readOperatorSettings(files.operator),
+  };
+}
+
+/** Says what is wrong with the settings in one line and ends. */
+async function orComplain(work: () => Promise<void>): Promise<void> {
+  try {
+    await work();
+  } catch (err) {
+    if (!(err instanceof SettingsError)) throw err;
+    process.stderr.write(`fernpond: ${err.message}\n`);
+    process.exitCode = BAD_SETTINGS;
+  }
+}
+
+async function serve(files: Files): Promise<void> {
+  const { settings, operator } = await load(files);
+  const log = createLogger(settings.node);
+  process.on("unhandledRejection", (err) => log.error({ err }, "unhandled rejection"));
+  await new Controller(settings, operator, log).start();
+}
+
+const { version } = JSON.parse(readFileSync(new URL("../package.json", import.meta.url), "utf8")) as {
+  version: string;
+};
+
+const program = new Command("fernpond")
+  .description("A cluster scheduler: rents machines and places batch tasks on them, through failures.")
+  .version(version)
+  .option("--config <file>", "the platform's settings (TOML)")
+  .option("--operator <file>", "the operators' own settings (HCL)")
+  .action((options: Partial<Files>) => {
+    return orComplain(() => serve(needFiles(options)));
+  });
+
+program
+  .command("check-config")
+  .description("check the settings, say what is wrong with them, and end")
+  .action(() => {
+    return orComplain(async () => {
+      await load(needFiles(program.opts<Partial<Files>>()));
+      process.stdout.write("the settings are fine\n");
+    });
+  });
+
+await program.parseAsync();
--- /dev/null
+++ b/src/peers/links.ts
@@ -0,0 +1,131 @@
+/** The connections between controllers: questions out, answers back, each with a deadline. */
+import { createServer, Socket, type AddressInfo, type Server } from "node:net";
+import { pipeline, Writable } from "node:stream";
+import type { Logger } from "../runtime/log.js";
+import { FrameReader, frameBytes } from "./framing.js";
+import type { Frame, PeerReply, PeerRequest } from "./messages.js";
+
+export class PeerSilent extends Error {}
+
+export type PeerHandler = (request: PeerRequest) => Promise<PeerReply>;
+
+/** Past this many unanswered questions a peer counts as silent: nothing may queue without bound. */
+const MAX_WAITING = 256;
+
+class PeerLink {
+  private socket: Socket | null = null;
+  private nextId = 1;
+  private readonly waiting = new Map<number, (reply: PeerReply | null) => void>();
+
+  constructor(
+    private readonly address: string,
+    private readonly timeoutMs: number,
+    private readonly log: Logger,
+  ) {}
+
+  ask(request: PeerRequest): Promise<PeerReply> {
+    return new Promise((resolve, reject) => {
+      if (this.waiting.size >= MAX_WAITING) return reject(new PeerSilent(this.address));
+      const id = this.nextId++;
+      const timer = setTimeout(() => {
+        // Whatever is still under way on this connection may be held by a cut: start over with a new one.
+        this.socket?.destroy();
+        settle(null);
+      }, this.timeoutMs);
+      const settle = (reply: PeerReply | null): void => {
+        clearTimeout(timer);
+        this.waiting.delete(id);
+        if (reply === null) reject(new PeerSilent(this.address));
+        else resolve(reply);
+      };
+      this.waiting.set(id, settle);
+      this.connected().write(frameBytes({ id, reply: false, body: request }));
+    });
+  }
+
+  close(): void {
+    this.socket?.destroy();
+  }
+
+  private connected(): Socket {
+    if (this.socket !== null) return this.socket;
+    const colon = this.address.lastIndexOf(":");
+    const socket = new Socket();
+    socket.setNoDelay(true);
+    socket.connect(Number(this.address.slice(colon + 1)), this.address.slice(0, colon));
+    this.socket = socket;
+    const answers = new Writable({
+      objectMode: true,
+      write: (frame: Frame, _encoding, done) => {
+        if (frame.reply) this.waiting.get(frame.id)?.(frame.body);
+        done();
+      },
+    });
+    pipeline(socket, new FrameReader(), answers, (err) => {
+      if (err) this.log.debug({ peer: this.address, err: err.message }, "peer link ended");
+      socket.destroy();
+      if (this.socket === socket) this.socket = null;
+      for (const settle of [...this.waiting.values()]) settle(null);
+    });
+    return socket;
+  }
+}
+
+export class Peers {
+  private readonly links: Map<string, PeerLink>;
+  private server: Server | null = null;
+  private readonly sockets = new Set<Socket>();
+
+  constructor(
+    peers: { node: string; address: string }[],
+    timeoutMs: number,
+    private readonly log: Logger,
+  ) {
+    this.links = new Map(peers.map((p) => [p.node, new PeerLink(p.address, timeoutMs, log)]));
+  }
+
+  async ask(node: string, request: PeerRequest): Promise<PeerReply> {
+    const link = this.links.get(node);
+    if (link === undefined) throw new PeerSilent(node);
+    return link.ask(request);
+  }
+
+  listen(address: string, handler: PeerHandler): Promise<number> {
+    const colon = address.lastIndexOf(":");
+    const server = createServer((socket) => this.serve(socket, handler));
+    this.server = server;
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () =>
+        resolve((server.address() as AddressInfo).port),
+      );
+    });
+  }
+
+  close(): void {
+    this.server?.close();
+    for (const socket of this.sockets) socket.destroy();
+    for (const link of this.links.values()) link.close();
+  }
+
+  private serve(socket: Socket, handler: PeerHandler): void {
+    this.sockets.add(socket);
+    socket.setNoDelay(true);
+    // One question at a time per connection: a peer that asks faster than it is answered feels it as backpressure.
+    const questions = new Writable({
+      objectMode: true,
+      write: (frame: Frame, _encoding, done) => {
+        if (frame.reply) return done(new Error("an answer to nothing"));
+        handler(frame.body).then(
+          (body) => socket.write(frameBytes({ id: frame.id, reply: true, body }), () => done()),
+          (err: Error) => done(err),
+        );
+      },
+    });
+    pipeline(socket, new FrameReader(), questions, (err) => {
+      if (err) this.log.debug({ err: err.message }, "peer connection dropped");
+      socket.destroy();
+      this.sockets.delete(socket);
+    });
+  }
+}
--- /dev/null
+++ b/src/peers/messages.ts
@@ -0,0 +1,127 @@
+/** What controllers say to each other. */
+import protobuf from "protobufjs";
+
+const schema = `
+syntax = "proto3";
+package fernpond;
+
+// One question or one answer; an answer carries the id of its question.
+message Frame {
+  uint64 id = 1;
+  bool reply = 2;
+  oneof body {
+    Summary summary = 3;
+    Drain drain = 4;
+    Give give = 5;
+    HandOver hand_over = 6;
+    Lookup lookup = 7;
+    Accepted accepted = 8;
+    Counts counts = 9;
+  }
+}
+
+// An owner tells the leader what waits in a share and how its machines are.
+message Summary {
+  uint32 share = 1;
+  uint64 token = 2;
+  // All machines heard, or their leases surely over: what is said here is the whole truth.
+  bool settled = 3;
+  repeated Demand demand = 4;
+  repeated Machine machines = 5;
+}
+
+// Tasks that could run now but for lack of machines.
+message Demand {
+  double cpus = 1;
+  double gpus = 2;
+  double memory_gb = 3;
+  repeated string types = 4;
+  string zone = 5;
+  bool spot = 6;
+  uint32 count = 7;
+  string priority = 8;
+}
+
+message Machine {
+  string host = 1;
+  // booting, idle, busy, silent, sick or draining
+  string state = 2;
+  double for_ms = 3;
+  uint32 empty_reports = 4;
+}
+
+// The leader names machines to be given back: the owner stops placing on them, durably.
+message Drain { uint32 share = 1; repeated string hosts = 2; }
+// The leader asks an owner to pass empty machines on to another share.
+message Give { uint32 share = 1; uint32 to = 2; repeated string hosts = 3; }
+// The leader asks an owner to pass the whole share on to another controller.
+message HandOver { uint32 share = 1; string to = 2; }
+message Accepted { repeated string hosts = 1; }
+
+message Lookup { uint32 share = 1; string job = 2; }
+message Counts { bool known = 1; uint32 done = 2; uint32 running = 3; }
+`;
+
+export interface Demand {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  /** Empty: any. */
+  types: string[];
+  /** Empty: any. */
+  zone: string;
+  spot: boolean;
+  count: number;
+  priority: string;
+}
+
+export type MachineCondition = "booting" | "idle" | "busy" | "silent" | "sick" | "draining";
+
+export interface MachineSummary {
+  host: string;
+  state: MachineCondition;
+  /** How long it has been so. */
+  forMs: number;
+  emptyReports: number;
+}
+
+export interface Summary {
+  share: number;
+  token: number;
+  settled: boolean;
+  demand: Demand[];
+  machines: MachineSummary[];
+}
+
+export type PeerRequest =
+  | { summary: Summary }
+  | { drain: { share: number; hosts: string[] } }
+  | { give: { share: number; to: number; hosts: string[] } }
+  | { handOver: { share: number; to: string } }
+  | { lookup: { share: number; job: string } };
+
+export type PeerReply =
+  { accepted: { hosts: string[] } } | { counts: { known: boolean; done: number; running: number } };
+
+export type Frame =
+  { id: number; reply: false; body: PeerRequest } | { id: number; reply: true; body: PeerReply };
+
+const frameType = protobuf.parse(schema).root.lookupType("fernpond.Frame");
+
+export function encodeFrame(frame: Frame): Uint8Array {
+  const message = frameType.fromObject({ id: frame.id, reply: frame.reply, ...frame.body });
+  return frameType.encode(message).finish();
+}
+
+/** Throws on bytes that are no frame. */
+export function decodeFrame(bytes: Uint8Array): Frame {
+  const plain = frameType.toObject(frameType.decode(bytes), {
+    longs: Number,
+    defaults: true,
+    arrays: true,
+    oneofs: true,
+  });
+  const kind = plain.body as string | undefined;
+  if (kind === undefined) throw new Error("a frame without a body");
+  return { id: plain.id, reply: plain.reply, body: { [kind]: plain[kind] } } as unknown as Frame;
+}
--- /dev/null
+++ b/src/placement/share.ts
@@ -0,0 +1,429 @@
+/**
+ * One share as its owner sees it: the jobs and machines of the records, the workers' reports, and the decisions
+ * that follow. Time and records come in, commands, writes and summaries go out; nothing here waits or calls.
+ */
+import type { Settings } from "../config/settings.js";
+import { CHUNK_TASKS } from "../jobs/bits.js";
+import { readDone, readJob, shareOf } from "../jobs/records.js";
+import type { Demand, MachineSummary, Summary } from "../peers/messages.js";
+import type { SteadyClock } from "../runtime/clock.js";
+import type { Logger } from "../runtime/log.js";
+import { keys, prefixes } from "../state/keys.js";
+import type { ReplicaView } from "../state/replica.js";
+import {
+  CLOCK_DRIFT,
+  type Change,
+  type Command,
+  type Guard,
+  type MachineType,
+  type WorkerReport,
+  type Write,
+} from "../wire/index.js";
+import { Job, Machine, type Placement } from "../workers/model.js";
+import { readMachine } from "../workers/records.js";
+import { applyReport, isNewer, releaseAll } from "../workers/reports.js";
+import { placeRound, startable, teamUsage, underLimit, unseenUsage } from "./place.js";
+
+/** Attempts are a token and a count within its term, so that they never repeat. */
+const ATTEMPTS_PER_TOKEN = 2 ** 20;
+/** A job that fails on so many machines is at fault itself. */
+const FAULTY_JOB_MACHINES = 3;
+/** A machine on which so many jobs fail, with no success between, is at fault itself. */
+const FAULTY_MACHINE_JOBS = 2;
+
+export interface Completion {
+  guards: Guard[];
+  writes: Write[];
+  /** To be called once the writes are durable. */
+  durable(): void;
+  /** To be called if the job's record turned out to be gone: it was cancelled first. */
+  lost(): void;
+  job: string;
+}
+
+export class Share {
+  readonly jobs = new Map<string, Job>();
+  readonly machines = new Map<string, Machine>();
+  private readonly dirty = new Map<Job, Set<number>>();
+  /** Chunks of completed tasks of jobs that are over: to be cleared away when there is room. */
+  private readonly leftovers = new Set<string>();
+  private attempts = 0;
+  private resumeAt: string | null = null;
+  private readonly leaseMs: number;
+
+  constructor(
+    readonly n: number,
+    /** The token with which this owner's term began. */
+    readonly termToken: number,
+    private readonly startedAt: number,
+    private readonly settings: Settings,
+    private readonly types: () => Map<string, MachineType>,
+    view: ReplicaView,
+    private readonly log: Logger,
+  ) {
+    const { leaseMs, reportMs } = settings.workers;
+    this.leaseMs = leaseMs * (1 + 2 * CLOCK_DRIFT) + reportMs / 4;
+    this.sync(view, null, startedAt);
+    for (const machine of this.machines.values()) machine.inCensus = true;
+  }
+
+  /** Whether everything that an earlier owner may have left running has been seen, or is surely over. */
+  get settled(): boolean {
+    for (const machine of this.machines.values()) if (machine.inCensus) return false;
+    return true;
+  }
+
+  /** Follows the records: what is new, what is gone. */
+  sync(view: ReplicaView, changes: Change[] | null, now: number): void {
+    if (changes === null) {
+      for (const id of this.jobs.keys()) if (!view.get(keys.job(id))) this.dropJob(id);
+      for (const host of this.machines.keys()) if (!view.get(keys.machine(host))) this.dropMachine(host);
+      changes = [
+        ...view.under(prefixes.jobs),
+        ...view.under(prefixes.done),
+        ...view.under(prefixes.machines),
+      ];
+    }
+    for (const change of changes) {
+      if (change.key.startsWith(prefixes.jobs)) this.syncJob(change);
+      else if (change.key.startsWith(prefixes.machines)) this.syncMachine(change, now);
+      else if (change.key.startsWith(prefixes.done)) this.syncDone(change, view);
+    }
+  }
+
+  private syncJob(change: Change): void {
+    const id = change.key.slice(prefixes.jobs.length);
+    if (change.value === undefined) return this.dropJob(id);
+    if (this.jobs.has(id)) return;
+    const record = readJob(change.value);
+    if (record === null) return void this.log.error({ key: change.key }, "unreadable job record");
+    if (shareOf(record.spec, this.settings.teams, this.settings.controllers) !== this.n) return;
+    this.jobs.set(id, Job.fromRecord(record, change.version));
+  }
+
+  private syncDone(change: Change, view: ReplicaView): void {
+    const [id, chunk] = change.key.slice(prefixes.done.length).split("/");
+    const job = this.jobs.get(id ?? "");
+    const bits = readDone(change.value);
+    if (bits === null) return;
+    if (!job) {
+      if (this.n === 0 && !view.get(keys.job(id ?? ""))) this.leftovers.add(change.key);
+      return;
+    }
+    job.done.mergeChunk(Number(chunk), bits);
+    job.durable.mergeChunk(Number(chunk), bits);
+  }
+
+  private syncMachine(change: Change, now: number): void {
+    const host = change.key.slice(prefixes.machines.length);
+    const record = readMachine(change.value);
+    if (record === null || record.share !== this.n) return this.dropMachine(host);
+    const machine = this.machines.get(host);
+    if (machine) machine.record = record;
+    else this.machines.set(host, new Machine(host, record, now));
+  }
+
+  /** The record is gone: over or cancelled. Tasks still on machines are stopped and count until proven gone. */
+  private dropJob(id: string): void {
+    const job = this.jobs.get(id);
+    if (job === undefined) return;
+    job.closing = true;
+    this.dirty.delete(job);
+    if (job.durable.count > 0)
+      for (let c = 0; c * CHUNK_TASKS < job.spec.tasks; c++) this.leftovers.add(keys.done(id, c));
+    if (job.active.size === 0) this.jobs.delete(id);
+  }
+
+  /** A machine's record goes only after the cloud's 200 to its return, or when it is passed on empty. */
+  private dropMachine(host: string): void {
+    const machine = this.machines.get(host);
+    if (machine === undefined) return;
+    releaseAll(machine);
+    this.machines.delete(host);
+    this.sweepJobs();
+  }
+
+  private sweepJobs(): void {
+    for (const [id, job] of this.jobs) if (job.closing && job.active.size === 0) this.jobs.delete(id);
+  }
+
+  /** Null: an old report, about which nothing is to be said. */
+  report(report: WorkerReport, now: number): Command[] | null {
+    const machine = this.machines.get(report.host);
+    if (machine === undefined || !isNewer(machine, report)) return null;
+    const wasUp = machine.up;
+    const commands = applyReport(machine, report, {
+      jobs: this.jobs,
+      now,
+      termToken: this.termToken,
+      reportMs: this.settings.workers.reportMs,
+      ended: (job, index, where, cause) => this.ended(job, index, where, cause, now),
+    });
+    if (machine.up && !wasUp) this.log.info({ host: machine.host, share: this.n }, "machine heard");
+    if (machine.heard) machine.inCensus = false;
+    this.sweepJobs();
+    return commands;
+  }
+
+  private ended(job: Job, index: number, machine: Machine, cause: string, now: number): void {
+    const { reportMs } = this.settings.workers;
+    switch (cause) {
+      case "done":
+        machine.failedJobs.clear();
+        job.failures = 0;
+        if (!this.dirty.has(job)) this.dirty.set(job, new Set());
+        this.dirty.get(job)!.add(index);
+        return;
+      case "error":
+        this.failed(job, machine, now);
+        return;
+      case "no_room":
+        // The worker counts something that we do not see yet; its next reports will show it.
+        machine.notBefore = now + 2 * reportMs;
+        return;
+      case "unknown":
+        // The owner of the job has yet to upload it.
+        job.notBefore = now + 2 * reportMs;
+        return;
+    }
+  }
+
+  private failed(job: Job, machine: Machine, now: number): void {
+    job.failures++;
+    job.failedOn.add(machine.host);
+    machine.failedJobs.add(job.spec.id);
+    if (job.failedOn.size >= FAULTY_JOB_MACHINES) {
+      // It fails wherever it runs. Its machines are not to blame, and it waits longer each time.
+      for (const host of job.failedOn) this.machines.get(host)?.failedJobs.delete(job.spec.id);
+      job.failedOn.clear();
+      job.notBefore = now + Math.min(job.failures, 60) * this.leaseMs;
+      this.log.info({ job: job.spec.id, failures: job.failures }, "job fails on every machine, backing off");
+    } else if (machine.failedJobs.size >= FAULTY_MACHINE_JOBS && !machine.sick) {
+      machine.sick = true;
+      this.log.info({ host: machine.host, jobs: [...machine.failedJobs] }, "machine quarantined");
+    }
+  }
+
+  /** Ends what can be proven over by the passing of time. */
+  expire(now: number): void {
+    for (const machine of this.machines.values()) {
+      // Before the first report in this term, an earlier owner may have answered until the term began.
+      const since = machine.lastReportAt ?? (machine.inCensus ? this.startedAt : null);
+      if (since === null || machine.silentSince !== null || now - since <= this.leaseMs) continue;
+      machine.silentSince = now;
+      const lost = machine.placements.size;
+      releaseAll(machine);
+      machine.emptySince = null;
+      machine.emptyReports = 0;
+      machine.inCensus = false;
+      this.log.info({ host: machine.host, share: this.n, lost }, "machine silent, its lease is over");
+    }
+    this.sweepJobs();
+  }
+
+  /** One round of placing; starts go out with the machines' next answers. */
+  place(token: number, now: number, clock: SteadyClock, deadline: number): number {
+    const round = placeRound(this.roundInput(now), clock, deadline);
+    this.resumeAt = round.resumeAt;
+    for (const { job, index, machine } of round.starts) {
+      const attempt = token * ATTEMPTS_PER_TOKEN + ++this.attempts;
+      const placement: Placement = {
+        job,
+        index,
+        attempt,
+        machine,
+        state: "assigned",
+        since: now,
+        stop: null,
+      };
+      job.active.set(index, placement);
+      machine.placements.add(placement);
+      machine.emptySince = null;
+      machine.emptyReports = 0;
+    }
+    if (round.starts.length > 0) this.log.debug({ share: this.n, starts: round.starts.length }, "placed");
+    return round.starts.length;
+  }
+
+  /** The commands for what has been placed on a machine since its report was taken in. */
+  startsFor(host: string): Command[] {
+    const machine = this.machines.get(host);
+    if (!machine?.heard) return [];
+    return [...machine.placements]
+      .filter((p) => p.state === "assigned" && !p.stop && !p.job.closing)
+      .map((p) => ({ op: "start", job: p.job.spec.id, index: p.index, attempt: p.attempt }));
+  }
+
+  /** Stops what can be saved before the cloud takes its machine away. */
+  drainNoticed(): void {
+    const { reportMs } = this.settings.workers;
+    for (const machine of this.machines.values()) {
+      if (machine.noticeS === null) continue;
+      for (const placement of machine.placements) {
+        const { saveS, checkpointS } = placement.job.spec;
+        // The notice may be half of what it says; three reports are needed to stop and to see it stopped.
+        if (checkpointS > 0 && machine.noticeS / 2 < saveS + (3 * reportMs) / 1000)
+          placement.stop ??= { why: "drain", graceS: saveS };
+      }
+    }
+  }
+
+  private roundInput(now: number) {
+    return {
+      jobs: this.jobs.values(),
+      machines: [...this.machines.values()],
+      types: this.types(),
+      teams: this.settings.teams,
+      now,
+      settled: this.settled,
+      termToken: this.termToken,
+      resumeAt: this.resumeAt,
+    };
+  }
+
+  /** Whether the attempts of this token are nearly used up. */
+  get attemptsExhausted(): boolean {
+    return this.attempts >= ATTEMPTS_PER_TOKEN / 2;
+  }
+
+  attemptsRenewed(): void {
+    this.attempts = 0;
+  }
+
+  /** The next completed work to be written, a job at a time, within so many operations. */
+  completions(room: number): Completion[] {
+    const out: Completion[] = [];
+    for (const [job, indexes] of this.dirty) {
+      const completion =
+        job.done.count === job.spec.tasks ? this.finish(job) : this.progress(job, indexes, room);
+      if (completion.writes.length > room) break;
+      room -= completion.writes.length;
+      out.push(completion);
+      if (room < 1) break;
+    }
+    const stale = [...this.leftovers].slice(0, room);
+    if (out.length > 0 && stale.length > 0)
+      out.push({
+        job: "",
+        guards: [],
+        writes: stale.map((key) => ({ remove: key })),
+        durable: () => stale.forEach((key) => this.leftovers.delete(key)),
+        lost: () => undefined,
+      });
+    return out;
+  }
+
+  private finish(job: Job): Completion {
+    const { id, tasks } = job.spec;
+    return {
+      job: id,
+      guards: [{ key: keys.job(id), version: job.version }],
+      writes: [{ put: keys.ended(id), value: { stage: "done", done: tasks } }, { remove: keys.job(id) }],
+      durable: () => {
+        for (let i = 0; i < tasks; i++) job.durable.add(i);
+        this.dirty.delete(job);
+        this.log.info({ job: id }, "job done");
+      },
+      lost: () => this.dropJob(id),
+    };
+  }
+
+  private progress(job: Job, indexes: Set<number>, room: number): Completion {
+    const { id } = job.spec;
+    const chunks = [...new Set([...indexes].map((i) => Math.floor(i / CHUNK_TASKS)))].slice(
+      0,
+      Math.max(1, room),
+    );
+    const written = [...indexes].filter((i) => chunks.includes(Math.floor(i / CHUNK_TASKS)));
+    return {
+      job: id,
+      guards: [{ key: keys.job(id), version: job.version }],
+      writes: chunks.map((c) => ({ put: keys.done(id, c), value: { bits: job.done.encodeChunk(c) } })),
+      durable: () => {
+        for (const i of written) {
+          job.durable.add(i);
+          indexes.delete(i);
+        }
+        if (indexes.size === 0) this.dirty.delete(job);
+      },
+      lost: () => this.dropJob(id),
+    };
+  }
+
+  /** The machines of `hosts` that are empty, so that they may leave; nothing is placed on them from now on. */
+  beginLeaving(hosts: string[], anyState: boolean): string[] {
+    return hosts.filter((host) => {
+      const machine = this.machines.get(host);
+      if (machine === undefined || machine.leaving) return false;
+      const idle = machine.usable && machine.empty && machine.emptyReports >= 2;
+      // A machine that never spoke, fell silent or is sick need not be empty: the return itself is the proof.
+      const lost = !machine.heard || machine.silentSince !== null || machine.sick;
+      if (!idle && !(anyState && lost)) return false;
+      machine.leaving = true;
+      return true;
+    });
+  }
+
+  stayAfterAll(hosts: string[]): void {
+    for (const host of hosts) {
+      const machine = this.machines.get(host);
+      if (machine) machine.leaving = false;
+    }
+  }
+
+  counts(id: string): { known: boolean; done: number; running: number } {
+    const job = this.jobs.get(id);
+    if (job === undefined) return { known: false, done: 0, running: 0 };
+    return { known: true, done: job.done.count, running: job.runningCount };
+  }
+
+  summary(token: number, now: number): Summary {
+    return {
+      share: this.n,
+      token,
+      settled: this.settled,
+      demand: this.demand(now),
+      machines: [...this.machines.values()].map((m) => summarise(m, now)),
+    };
+  }
+
+  /** Tasks that could run now but for lack of machines, alike ones together; limits of teams respected. */
+  private demand(now: number): Demand[] {
+    const input = this.roundInput(now);
+    const usage = teamUsage(this.jobs.values());
+    const unseen = unseenUsage(input.machines, input.types);
+    const groups = new Map<string, Demand>();
+    for (const job of [...this.jobs.values()].filter((j) => j.waiting > 0 && startable(j, input))) {
+      const { spec } = job;
+      const team = this.settings.teams.find((t) => t.name === spec.team);
+      const used = usage.get(spec.team)!;
+      let count = 0;
+      while (count < job.waiting && underLimit(team, used, unseen, spec)) {
+        used.cpus += spec.cpus;
+        used.gpus += spec.gpus;
+        count++;
+      }
+      if (count === 0) continue;
+      const { cpus, gpus, memoryGb, spot, priority } = spec;
+      const group = { cpus, gpus, memoryGb, types: spec.types ?? [], zone: spec.zone ?? "", spot, priority };
+      const key = JSON.stringify(group);
+      const known = groups.get(key);
+      if (known) known.count += count;
+      else groups.set(key, { ...group, count });
+    }
+    return [...groups.values()];
+  }
+}
+
+function summarise(machine: Machine, now: number): MachineSummary {
+  const { host, emptyReports } = machine;
+  const since = (t: number | null): number => (t === null ? 0 : now - t);
+  if (machine.record.drain || machine.leaving) return { host, state: "draining", forMs: 0, emptyReports };
+  if (machine.silentSince !== null)
+    return { host, state: "silent", forMs: since(machine.silentSince), emptyReports };
+  if (!machine.heard) return { host, state: "booting", forMs: since(machine.addedAt), emptyReports };
+  if (machine.sick) return { host, state: "sick", forMs: 0, emptyReports };
+  if (machine.empty && machine.noticeS === null)
+    return { host, state: "idle", forMs: since(machine.emptySince), emptyReports };
+  return { host, state: "busy", forMs: 0, emptyReports };
+}
--- /dev/null
+++ b/src/runtime/http-client.ts
@@ -0,0 +1,81 @@
+/** JSON over HTTP/1.1 with kept connections, a deadline on every call, and a bound on what is read. */
+import { Agent, request, type IncomingMessage } from "node:http";
+
+export interface HttpAnswer {
+  status: number;
+  body: unknown;
+}
+
+/** No usable answer came. The request may have been executed, or may still be. */
+export class NoAnswer extends Error {}
+
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+export class JsonHttp {
+  private readonly agent: Agent;
+  private readonly host: string;
+  private readonly port: number;
+
+  constructor(address: string, sockets: number) {
+    const colon = address.lastIndexOf(":");
+    this.host = address.slice(0, colon);
+    this.port = Number(address.slice(colon + 1));
+    this.agent = new Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets });
+  }
+
+  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer> {
+    return new Promise((resolve, reject) => {
+      const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
+      const outgoing = request({
+        agent: this.agent,
+        host: this.host,
+        port: this.port,
+        method,
+        path,
+        headers:
+          payload === undefined
+            ? {}
+            : { "content-type": "application/json", "content-length": payload.byteLength },
+      });
+      const fail = (reason: string): void => {
+        clearTimeout(timer);
+        outgoing.destroy();
+        reject(new NoAnswer(`${method} ${path}: ${reason}`));
+      };
+      const timer = setTimeout(() => fail("timed out"), timeoutMs);
+      outgoing.on("error", (err) => fail(err.message));
+      outgoing.on("response", (answer) => {
+        readAll(answer, MAX_ANSWER_BYTES).then(
+          (text) => {
+            clearTimeout(timer);
+            resolve({ status: answer.statusCode ?? 0, body: parseJson(text) });
+          },
+          (err: Error) => fail(err.message),
+        );
+      });
+      outgoing.end(payload);
+    });
+  }
+}
+
+export class BodyTooLarge extends Error {}
+
+export async function readAll(stream: IncomingMessage, limit: number): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of stream as AsyncIterable<Buffer>) {
+    size += chunk.byteLength;
+    if (size > limit) throw new BodyTooLarge(`body over ${limit} bytes`);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+/** The parsed text, or undefined where it is no JSON. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/wire/state.ts
@@ -0,0 +1,72 @@
+/** The state service's messages. */
+import { z } from "zod";
+
+export interface Entry {
+  key: string;
+  value: unknown;
+  version: number;
+}
+
+/** A change as the state service's feed tells it; `value` is undefined for a removal. */
+export interface Change {
+  key: string;
+  value: unknown;
+  version: number;
+}
+
+export interface Guard {
+  key: string;
+  /** The version that the key must have; 0 means that it must not exist. */
+  version: number;
+}
+
+export type Write = { put: string; value: unknown; lease?: number } | { remove: string };
+
+const revision = z.int().nonnegative();
+
+const entrySchema = z
+  .object({ path: z.string(), value: z.unknown(), stamp: revision })
+  .transform((e): Entry => ({ key: e.path, value: e.value, version: e.stamp }));
+
+export const valueSchema = z
+  .object({ value: z.unknown(), stamp: revision })
+  .transform((v) => ({ value: v.value, version: v.stamp }));
+
+export const pageSchema = z
+  .object({ items: z.array(entrySchema), truncated: z.boolean().nullish(), epoch: revision })
+  .transform((p) => ({ entries: p.items, more: p.truncated === true, revision: p.epoch }));
+
+export const changesSchema = z
+  .object({
+    epoch: revision,
+    events: z.array(
+      z.union([
+        z
+          .object({ put: z.string(), value: z.unknown(), stamp: revision })
+          .transform((e): Change => ({ key: e.put, value: e.value, version: e.stamp })),
+        z
+          .object({ remove: z.string(), stamp: revision })
+          .transform((e): Change => ({ key: e.remove, value: undefined, version: e.stamp })),
+      ]),
+    ),
+  })
+  .transform((c) => ({ revision: c.epoch, changes: c.events }));
+
+export const committedSchema = z.object({ epoch: revision }).transform((c) => c.epoch);
+export const conflictSchema = z.object({ failed: z.array(z.string()) }).transform((c) => c.failed);
+export const leaseSchema = z.object({ hold: revision }).transform((l) => l.hold);
+
+export function transactionToWire(guards: Guard[], writes: Write[]): object {
+  return {
+    guards: guards.map((g) => ({ path: g.key, stamp: g.version })),
+    apply: writes.map((w) =>
+      "put" in w
+        ? { put: w.put, value: w.value, ...(w.lease === undefined ? {} : { hold: w.lease }) }
+        : { remove: w.remove },
+    ),
+  };
+}
+
+export function leaseToWire(ttlMs: number): object {
+  return { lifeMs: ttlMs };
+}
--- /dev/null
+++ b/src/wire/users.ts
@@ -0,0 +1,127 @@
+/** What users send and get back: submissions, job states. */
+import { z } from "zod";
+
+export const PRIORITIES = ["best_effort", "normal", "urgent", "critical"] as const;
+export type Priority = (typeof PRIORITIES)[number];
+
+/** A job as the rest of the program knows it, in the field's usual terms. */
+export interface JobSpec {
+  id: string;
+  className: string;
+  team: string;
+  priority: Priority;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  image: string;
+  imageGb: number;
+  /** Allowed machine types, or null for any. */
+  types: string[] | null;
+  /** The only allowed zone, or null for any. */
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export type JobStage = "pending" | "running" | "done" | "cancelled";
+
+export interface JobStatus {
+  id: string;
+  stage: JobStage;
+  done: number;
+  running: number;
+}
+
+export const MAX_TASKS = 100_000;
+export const MAX_BODY_BYTES = 64 * 1024;
+
+const jobId = z.string().regex(/^req-\d{1,32}$/, "must look like req-000412");
+const amount = z.number().nonnegative();
+const label = z.string().min(1).max(200);
+
+const submissionSchema = z
+  .object({
+    nameId: jobId,
+    lane: label,
+    crew: label,
+    shape: z.literal("array"),
+    rank: z.enum(PRIORITIES),
+    pieces: z.int().min(1).max(MAX_TASKS),
+    vcpus: amount,
+    cards: amount,
+    memGb: amount,
+    bundle: label,
+    imageGb: amount,
+    breeds: z.array(label).min(1).nullish(),
+    bank: label.nullish(),
+    together: z.boolean(),
+    spread: z.boolean(),
+    loaners: z.boolean(),
+    guessS: amount,
+    markEveryS: amount,
+    markCostS: amount,
+    dueS: amount.nullish(),
+  })
+  .transform((s): JobSpec => ({
+    id: s.nameId,
+    className: s.lane,
+    team: s.crew,
+    priority: s.rank,
+    tasks: s.pieces,
+    cpus: s.vcpus,
+    gpus: s.cards,
+    memoryGb: s.memGb,
+    image: s.bundle,
+    imageGb: s.imageGb,
+    types: s.breeds ?? null,
+    zone: s.bank ?? null,
+    oneZone: s.together,
+    spread: s.spread,
+    spot: s.loaners,
+    estimateS: s.guessS,
+    checkpointS: s.markEveryS,
+    saveS: s.markCostS,
+    deadlineS: s.dueS ?? null,
+  }));
+
+export type Parsed<T> = { ok: true; value: T } | { ok: false; error: string };
+
+/** Runs a schema and words its first complaint in one line that names the field. */
+export function check<T>(schema: z.ZodType<T>, input: unknown): Parsed<T> {
+  const result = schema.safeParse(input);
+  if (result.success) return { ok: true, value: result.data };
+  const issue = result.error.issues[0];
+  const where = issue?.path.join(".") || "body";
+  return { ok: false, error: `${where}: ${issue?.message ?? "invalid"}` };
+}
+
+export function parseSubmission(input: unknown): Parsed<JobSpec> {
+  return check(submissionSchema, input);
+}
+
+export function isJobId(text: string): boolean {
+  return jobId.safeParse(text).success;
+}
+
+export function stageToWire(stage: JobStage): string {
+  return stage === "cancelled" ? "aborted" : stage;
+}
+
+export function statusToWire(status: JobStatus): object {
+  return {
+    nameId: status.id,
+    stage: stageToWire(status.stage),
+    done: status.done,
+    running: status.running,
+  };
+}
+
+export function acceptedToWire(id: string, stage: JobStage): object {
+  return { nameId: id, stage: stageToWire(stage) };
+}
--- /dev/null
+++ b/src/workers/model.ts
@@ -0,0 +1,126 @@
+/** What an owner knows of its share: jobs, machines, and which task is where. */
+import { Bits } from "../jobs/bits.js";
+import type { JobRecord } from "../jobs/records.js";
+import type { MachineRecord } from "./records.js";
+import type { JobSpec, TaskReport } from "../wire/index.js";
+
+export interface Placement {
+  job: Job;
+  index: number;
+  attempt: number;
+  machine: Machine;
+  /** `assigned`: chosen here, not yet seen in a report. */
+  state: "assigned" | "fetching" | "running" | "saving";
+  since: number;
+  /** Set once it has been decided to stop this attempt: why, and how long it may take to save. */
+  stop: { why: "preempt" | "drain"; graceS: number } | null;
+}
+
+export class Job {
+  readonly done: Bits;
+  /** What the state service holds; the rest of `done` has yet to be written. */
+  readonly durable: Bits;
+  readonly active = new Map<number, Placement>();
+  /** Cancelled or over: its tasks are stopped, and it goes when none is left. */
+  closing = false;
+  /** Machines on which a task of this job failed. */
+  readonly failedOn = new Set<string>();
+  failures = 0;
+  /** Steady time before which nothing of this job starts. */
+  notBefore = -Infinity;
+  private cursor = 0;
+
+  constructor(
+    readonly spec: JobSpec,
+    readonly acceptedAt: number,
+    /** The version of the job's record: tells jobs of this owner's term from older ones. */
+    readonly version: number,
+  ) {
+    this.done = new Bits(spec.tasks);
+    this.durable = new Bits(spec.tasks);
+  }
+
+  static fromRecord(record: JobRecord, version: number): Job {
+    return new Job(record.spec, record.acceptedAt, version);
+  }
+
+  get waiting(): number {
+    return this.closing ? 0 : this.spec.tasks - this.done.count - this.activeUndone();
+  }
+
+  /** The lowest waiting task. Done tasks stay done, so the scan need not go back behind them. */
+  nextWaiting(): number | null {
+    while (this.cursor < this.spec.tasks && this.done.has(this.cursor)) this.cursor++;
+    for (let i = this.cursor; i < this.spec.tasks; i++)
+      if (!this.done.has(i) && !this.active.has(i)) return i;
+    return null;
+  }
+
+  get runningCount(): number {
+    let n = 0;
+    for (const p of this.active.values()) if (p.state === "running" || p.state === "saving") n++;
+    return n;
+  }
+
+  private activeUndone(): number {
+    let n = 0;
+    for (const index of this.active.keys()) if (!this.done.has(index)) n++;
+    return n;
+  }
+}
+
+export class Machine {
+  readonly placements = new Set<Placement>();
+  /** Tasks reported that belong to no job we know: they are being stopped, and may be anybody's. */
+  orphans = new Set<string>();
+  /** Whether a report has shown that the worker follows this owner's term. */
+  heard = false;
+  /** Whether an earlier owner may have tasks on it that no report has shown us yet. */
+  inCensus = false;
+  session = 0;
+  seq = 0;
+  /** When the last report that we may have answered came in. */
+  lastReportAt: number | null = null;
+  noticeS: number | null = null;
+  /** Since when it has been empty, and in how many reports in a row. */
+  emptySince: number | null = null;
+  emptyReports = 0;
+  silentSince: number | null = null;
+  /** Jobs that failed here since a task last ended well. */
+  readonly failedJobs = new Set<string>();
+  sick = false;
+  notBefore = -Infinity;
+  readonly images = new Set<string>();
+  /** What the last report said, for tests and for the checks of a drain. */
+  reported: TaskReport[] = [];
+  /** Being passed to another share or drained: nothing new may be placed here. */
+  leaving = false;
+
+  constructor(
+    readonly host: string,
+    public record: MachineRecord,
+    readonly addedAt: number,
+  ) {}
+
+  get up(): boolean {
+    return this.heard && this.silentSince === null;
+  }
+
+  get usable(): boolean {
+    return this.up && !this.leaving && !this.record.drain && !this.sick && this.noticeS === null;
+  }
+
+  get empty(): boolean {
+    return this.placements.size === 0 && this.orphans.size === 0 && this.reported.length === 0;
+  }
+
+  used(): { cpus: number; gpus: number; memoryGb: number } {
+    const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
+    for (const { job } of this.placements) {
+      sum.cpus += job.spec.cpus;
+      sum.gpus += job.spec.gpus;
+      sum.memoryGb += job.spec.memoryGb;
+    }
+    return sum;
+  }
+}
