--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -184,9 +184,9 @@
     this.prices = types;
     for (const type of types) {
       const known = this.view.get(keys.type(type.name));
-      const { price: _p, spotPrice: _s, ...fixed } = type;
-      const { price: _q, spotPrice: _t, ...before } = (known?.value ?? {}) as MachineType;
-      if (JSON.stringify(fixed) === JSON.stringify(before)) continue;
+      // Spot prices wander; only what lasts is worth a write.
+      const lasting = (t: MachineType): string => JSON.stringify({ ...t, spotPrice: 0 });
+      if (known !== undefined && lasting(type) === lasting(known.value as MachineType)) continue;
       await this.state.commit([guard], [{ put: keys.type(type.name), value: type }]);
     }
     return true;
