--- /dev/null
+++ b/test/share.test.ts
@@ -0,0 +1,128 @@
+/** Traces of one share: records and reports in, commands, writes and summaries out. */
+import { Share } from "../src/placement/share.js";
+import type { Completion } from "../src/placement/share.js";
+import { keys } from "../src/state/keys.js";
+import { parseReport, type Command, type Priority, type Write } from "../src/wire/index.js";
+import { FakeView, jobSpec, silent, smallType } from "./support/records.js";
+import { testSettings } from "./support/settings.js";
+import { list, number, traceTests, type Step, type TraceEvent } from "./support/trace.js";
+
+const settings = testSettings();
+
+/** Attempts are written as token+count, so that a trace shows in whose term they began. */
+const attemptText = (attempt: number): string =>
+  attempt < 2 ** 20 ? String(attempt) : `${Math.floor(attempt / 2 ** 20)}+${attempt % 2 ** 20}`;
+const attemptOf = (text: string): number => {
+  const [token = "0", count] = text.split("+");
+  return count === undefined ? Number(token) : Number(token) * 2 ** 20 + Number(count);
+};
+
+const commandText = (c: Command): string =>
+  `${c.op} ${c.job}/${c.index} #${attemptText(c.attempt)}${c.op === "stop" ? ` grace=${c.graceS}` : ""}`;
+const writeText = (w: Write): string =>
+  "put" in w ? `put ${w.put} ${JSON.stringify(w.value)}` : `remove ${w.remove}`;
+
+function newScenario(): Step {
+  const view = new FakeView();
+  let version = 0;
+  let now = 0;
+  let token = 0;
+  let share: Share | null = null;
+  let written: Completion[] = [];
+  const types = new Map([[smallType.name, smallType]]);
+
+  const report = (event: TraceEvent): string[] => {
+    const parsed = parseReport({
+      host: event.words[0],
+      addr: "10.0.0.9:9000",
+      breed: "small",
+      bank: event.options.get("zone") ?? "north",
+      loaners: false,
+      tenure: number(event, "session", 1),
+      tick: number(event, "seq", 1),
+      baton: number(event, "token", 0),
+      recallS: event.options.has("notice") ? number(event, "notice", 0) : null,
+      pieces: list(event, "tasks").map((text) => {
+        const [piece, attempt = "1", stage, cause] = text.split(/[#:]/);
+        return { piece, try: attemptOf(attempt), stage, cause };
+      }),
+    });
+    if (!parsed.ok) return [`refused: ${parsed.error}`];
+    const commands = share!.report(parsed.value, now);
+    if (commands === null) return ["ignored"];
+    const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
+    share!.place(token, now, () => now, now + 1);
+    for (const start of share!.startsFor(parsed.value.host))
+      if (!known.has(start.attempt)) commands.push(start);
+    return [`token ${token}`, ...commands.map(commandText)];
+  };
+
+  return (event) => {
+    const { verb, words } = event;
+    const name = words[0] ?? "";
+    const change = (made: ReturnType<FakeView["put"]>): string[] => {
+      share?.sync(view, [made], now);
+      return [];
+    };
+    switch (verb) {
+      case "at":
+        now = Number(name) * 1000;
+        return [];
+      case "job": {
+        const spec = jobSpec(name, {
+          team: event.options.get("team") ?? "free",
+          tasks: number(event, "tasks", 1),
+          cpus: number(event, "cpus", 1),
+          priority: (event.options.get("priority") ?? "normal") as Priority,
+          spread: event.options.has("spread"),
+          oneZone: event.options.has("together"),
+          checkpointS: number(event, "checkpoint", 0),
+          saveS: number(event, "save", 0),
+        });
+        return change(view.put(keys.job(name), { spec, acceptedAt: ++version }, version));
+      }
+      case "machine": {
+        const zone = event.options.get("zone") ?? "north";
+        const record = { share: 0, type: "small", zone, spot: false, since: 0, drain: false };
+        return change(view.put(keys.machine(name), record, ++version));
+      }
+      case "own":
+        token = ++version;
+        share = new Share(0, token, now, settings, () => types, view, silent);
+        return [`token ${token}`, `settled ${share.settled}`];
+      case "cancel":
+        return change(view.remove(keys.job(name), ++version));
+      case "returned":
+        return change(view.remove(keys.machine(name), ++version));
+      case "report":
+        return report(event);
+      case "expire":
+        share!.expire(now);
+        return [`settled ${share!.settled}`];
+      case "tick":
+        share!.drainNoticed();
+        return [];
+      case "drain":
+        return [`leaving ${share!.beginLeaving(words, true).join(" ") || "none"}`];
+      case "write":
+        written = share!.completions(8);
+        return written.flatMap((c) => [
+          ...c.guards.map((g) => `if ${g.key} is at ${g.version}`),
+          ...c.writes.map(writeText),
+        ]);
+      case "durable":
+        for (const completion of written) completion.durable();
+        return [];
+      case "lost":
+        for (const completion of written) completion.lost();
+        return [];
+      case "demand":
+        return share!.summary(token, now).demand.map((d) => `${d.count} tasks of ${d.cpus} cpus`);
+      case "machines":
+        return share!.summary(token, now).machines.map((m) => `${m.host} ${m.state} ${m.emptyReports}`);
+    }
+    throw new Error(`no such event as ${verb}`);
+  };
+}
+
+traceTests("share", newScenario);
--- /dev/null
+++ b/test/support/trace.ts
@@ -0,0 +1,64 @@
+/**
+ * Kept traces: a text of events, each followed by what came of it, indented. A run replays the events and must
+ * come to the same text. `UPDATE_TRACES=1` writes what came out instead; the difference is then read by a person.
+ */
+import assert from "node:assert/strict";
+import { readFileSync, readdirSync, writeFileSync } from "node:fs";
+import { join, resolve } from "node:path";
+import { test } from "node:test";
+
+export interface TraceEvent {
+  verb: string;
+  /** The words without an equals sign, after the verb. */
+  words: string[];
+  options: Map<string, string>;
+}
+
+/** Carries out one event and returns the lines that came of it. */
+export type Step = (event: TraceEvent) => string[];
+
+const OUTPUT = "    ";
+
+function parse(line: string): TraceEvent {
+  const [verb = "", ...rest] = line.trim().split(/\s+/);
+  const options = new Map<string, string>();
+  const words: string[] = [];
+  for (const word of rest) {
+    const equals = word.indexOf("=");
+    if (equals < 0) words.push(word);
+    else options.set(word.slice(0, equals), word.slice(equals + 1));
+  }
+  return { verb, words, options };
+}
+
+function replay(text: string, step: Step): string {
+  const out: string[] = [];
+  for (const line of text.trimEnd().split("\n")) {
+    if (line.startsWith(OUTPUT)) continue;
+    out.push(line);
+    if (line.trim() === "" || line.startsWith("#")) continue;
+    out.push(...step(parse(line)).map((said) => OUTPUT + said));
+  }
+  return `${out.join("\n")}\n`;
+}
+
+/** Makes a test of every trace in a folder below test/traces. */
+export function traceTests(folder: string, newScenario: () => Step): void {
+  const where = resolve("test/traces", folder);
+  const files = readdirSync(where).filter((f) => f.endsWith(".trace"));
+  for (const file of files.sort()) {
+    test(`${folder}: ${file.slice(0, -".trace".length).replaceAll("-", " ")}`, () => {
+      const path = join(where, file);
+      const kept = readFileSync(path, "utf8");
+      const now = replay(kept, newScenario());
+      if (process.env.UPDATE_TRACES === "1") writeFileSync(path, now);
+      else assert.equal(now, kept);
+    });
+  }
+}
+
+export const number = (event: TraceEvent, name: string, fallback: number): number =>
+  Number(event.options.get(name) ?? fallback);
+
+export const list = (event: TraceEvent, name: string): string[] =>
+  (event.options.get(name) ?? "").split(",").filter((part) => part !== "");
