Start a share afresh when another may have owned it in between

It went on with the placements it knew, so tasks started twice and a limit was passed. Ruled out: a late answer or report; every start came from the stale owner's own view.

A term now continues over a change of the share's record only if the owner made that change itself.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -56,6 +56,12 @@
   };
 }
 
+/** A share in this process's hands, and the version of its record that was last found to continue its term. */
+interface Kept {
+  keeper: ShareKeeper;
+  token: number;
+}
+
 export class Controller {
   private readonly replica = new Replica();
   private readonly state: StateClient;
@@ -63,7 +69,7 @@
   private readonly sizer: Sizer;
   private readonly peers: Peers;
   private readonly jobs: JobService;
-  private readonly keepers = new Map<number, { keeper: ShareKeeper; share: Share }>();
+  private readonly keepers = new Map<number, Kept>();
   private readonly figures: ReturnType<typeof deriveFigures>;
   private typesByName = new Map<string, MachineType>();
   private ticker: NodeJS.Timeout | null = null;
@@ -201,18 +207,22 @@
     const { cluster, me } = this.membership;
     cluster.shares.forEach((record, n) => {
       const ours = record !== null && record.node === me.node && record.incarnation === me.incarnation;
-      const kept = this.keepers.get(n);
-      if (!ours && kept) {
+      let kept = this.keepers.get(n);
+      if (kept && (!ours || !this.membership.continues(n, kept.token))) {
         this.keepers.delete(n);
+        kept = undefined;
         this.log.info({ share: n, owner: record?.node }, "share lost");
-      } else if (ours && !kept) {
+      }
+      if (!ours) return;
+      if (kept) kept.token = record.version;
+      else {
         this.keepers.set(n, this.keep(n, record.version));
         this.log.info({ share: n, token: record.version }, "share owned");
       }
     });
   }
 
-  private keep(n: number, token: number): { keeper: ShareKeeper; share: Share } {
+  private keep(n: number, token: number): Kept {
     const share = new Share(
       n,
       token,
@@ -224,12 +234,17 @@
     );
     const figures = { roundMs: this.figures.roundMs, spacingMs: this.operator.passSpacingMs };
     const hooks = {
-      token: () => this.membership.token(n),
+      // The token counts only for the keeper whose term it belongs to.
+      token: () => {
+        const current = this.membership.token(n);
+        return current === kept.token && this.keepers.get(n) === kept ? current : null;
+      },
       raiseToken: () => void this.membership.tell({ kind: "raise", share: n }),
       summary: (summary: Summary) => this.sendSummary(summary),
     };
     const keeper = new ShareKeeper(share, figures, this.state, this.replica, steadyClock, hooks, this.log);
-    return { keeper, share };
+    const kept: Kept = { keeper, token };
+    return kept;
   }
 
   private sendSummary(summary: Summary): void {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -10,7 +10,15 @@
 import type { ReplicaView } from "../state/replica.js";
 import { CLOCK_DRIFT } from "../wire/index.js";
 import { decideMembership, type MembershipAction } from "./decide.js";
-import { readCluster, sameProcess, type Cluster, type Held, type Process } from "./records.js";
+import {
+  readCluster,
+  sameProcess,
+  sameTerm,
+  type Cluster,
+  type Held,
+  type Process,
+  type Raise,
+} from "./records.js";
 
 export interface MembershipFigures {
   /** How long the state service keeps this process's records without a renewal. */
@@ -48,6 +56,8 @@
   private ledSince: number | null = null;
   private lastMove = -Infinity;
   private busy = false;
+  /** The last time that this process raised a share's token itself. */
+  private readonly raises = new Map<number, Raise>();
   /** Shares that this process has stepped back from while it passes them on. */
   private readonly released = new Set<number>();
 
@@ -73,6 +83,12 @@
     return this.released.has(share) || !this.holds() ? null : record.version;
   }
 
+  /** Whether what an owner knew of its share at a version still holds at the present one. */
+  continues(share: number, known: number): boolean {
+    const version = this.cluster.shares[share]?.version;
+    return version !== undefined && sameTerm(known, version, this.raises.get(share));
+  }
+
   /** Whether this process leads right now, and the version of the record that says so. */
   leadership(): number | null {
     return sameProcess(this.cluster.leader, this.me) && this.holds() ? this.cluster.leader!.version : null;
@@ -281,7 +297,9 @@
         [{ key: keys.share(share), version: record.version }],
         [{ put: keys.share(share), value: this.me }],
       );
-      if (commit.ok) this.log.info({ share, token: commit.revision }, "token raised");
+      if (!commit.ok) return;
+      this.raises.set(share, { from: record.version, to: commit.revision });
+      this.log.info({ share, token: commit.revision }, "token raised");
     } catch (err) {
       this.log.debug({ err: (err as Error).message, share }, "token not raised");
     } finally {
--- a/src/membership/records.ts
+++ b/src/membership/records.ts
@@ -42,3 +42,18 @@
 
 export const sameProcess = (a: Process | null | undefined, b: Process): boolean =>
   a?.node === b.node && a.incarnation === b.incarnation;
+
+/** A change of a share's record that its owner made itself: the token rose, and the owner stayed. */
+export interface Raise {
+  from: number;
+  to: number;
+}
+
+/**
+ * Whether an owner that knew its share at one version may go on with what it knows at another. Guards against
+ * `ran_twice`: a process cut off for a while may find itself the owner again without ever having seen that
+ * another was in between. Only a change that it made itself, on the version that it knew, leaves no such gap.
+ */
+export function sameTerm(known: number, version: number, raise: Raise | undefined): boolean {
+  return version === known || (raise !== undefined && raise.from === known && raise.to === version);
+}
--- /dev/null
+++ b/test/membership.test.ts
@@ -0,0 +1,75 @@
+/** Who leads, who owns what, and how long an owner may go on with what it knows. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decideMembership, type MembershipView } from "../src/membership/decide.js";
+import { sameTerm, type Held } from "../src/membership/records.js";
+
+const member = (node: string, version: number, incarnation = `${node}.1`): Held => ({
+  node,
+  incarnation,
+  version,
+});
+const [a, b, c] = [member("a", 1), member("b", 2), member("c", 3)];
+
+function view(over: Partial<MembershipView["cluster"]>, rest: Partial<MembershipView> = {}): MembershipView {
+  const members = new Map([a, b, c].map((m) => [m.node, m]));
+  return {
+    me: { node: "a", incarnation: "a.1" },
+    cluster: {
+      members,
+      leader: member("a", 9),
+      shares: [member("a", 10), member("b", 11), member("c", 12)],
+      ...over,
+    },
+    controllers: 3,
+    ledMs: 0,
+    gatherMs: 5000,
+    mayMove: true,
+    ...rest,
+  };
+}
+
+test("an even cluster needs nothing", () => {
+  assert.deepEqual(decideMembership(view({})), []);
+});
+
+test("a process that came back takes over from its old self at once", () => {
+  const old = member("a", 9, "a.0");
+  const actions = decideMembership(view({ leader: old, shares: [member("a", 10, "a.0"), b, c] }));
+  assert.deepEqual(
+    actions.map((x) => x.kind),
+    ["lead", "reclaim"],
+  );
+});
+
+test("only a share whose owner's record is gone is given to another, the one with the fewest", () => {
+  const members = new Map([a, b].map((m) => [m.node, m]));
+  const shares = [member("a", 10), member("c", 11), member("c", 12)];
+  const actions = decideMembership(view({ members, shares }));
+  assert.deepEqual(
+    actions.map((x) => (x.kind === "assign" ? `${x.share} to ${x.to.node}` : x.kind)),
+    ["1 to b", "2 to a"],
+  );
+});
+
+test("shares that nobody ever owned wait for the others to come up, but not for ever", () => {
+  const members = new Map([["a", a]]);
+  const fresh = { members, shares: [null, null, null] };
+  assert.deepEqual(decideMembership(view(fresh, { ledMs: 4999 })), []);
+  assert.equal(decideMembership(view(fresh, { ledMs: 5000 })).length, 3);
+});
+
+test("an uneven cluster is evened out by asking an owner, once a share period", () => {
+  const uneven = { shares: [member("b", 10), member("b", 11), member("c", 12)] };
+  const [action] = decideMembership(view(uneven));
+  assert.deepEqual(action, { kind: "ask_hand_over", share: 0, owner: "b", to: "a" });
+  assert.deepEqual(decideMembership(view(uneven, { mayMove: false })), []);
+});
+
+test("an owner that was cut off and comes to own its share again starts afresh", () => {
+  // Cut off at version 10, while another owned the share at 11 and passed it back at 12.
+  assert.equal(sameTerm(10, 12, undefined), false);
+  assert.equal(sameTerm(10, 12, { from: 11, to: 12 }), false);
+  assert.equal(sameTerm(10, 11, { from: 10, to: 11 }), true);
+  assert.equal(sameTerm(10, 10, undefined), true);
+});
