Rent only for tasks that running ones will not make room for in time

Cause: at each burst machines were ordered for the whole queue; by the time they were up, running tasks had ended and the queue was gone, so they idled.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -33,6 +33,10 @@
           }),
         )
         .min(1),
+      // Only the aims that say how soon a class of jobs should start or finish are of use here.
+      objectives: z
+        .array(z.object({ kind: z.string(), class: z.string().nullish(), within_s: positive.nullish() }))
+        .default([]),
       workers: z.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
       state: z.object({
         rps: positive,
@@ -61,6 +65,11 @@
       gpus: t.gpus,
       gpusMax: t.gpus_max,
     })),
+    objectives: file.settings.objectives.map((o) => ({
+      kind: o.kind,
+      className: o.class ?? null,
+      withinS: o.within_s ?? null,
+    })),
     workers: {
       reportMs: file.settings.workers.report_s * 1000,
       leaseMs: file.settings.workers.lease_s * 1000,
@@ -77,6 +86,7 @@
   }));
 
 export type Settings = z.infer<typeof schema>;
+export type Objective = Settings["objectives"][number];
 export type Team = Settings["teams"][number];
 
 export function parseSettings(text: string): Settings {
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -22,7 +22,8 @@
 import { Job, Machine, type Placement } from "../workers/model.js";
 import { readMachine } from "../workers/records.js";
 import { applyReport, isNewer, releaseAll } from "../workers/reports.js";
-import { placeRound, startable, teamUsage, underLimit, unseenUsage } from "./place.js";
+import { uncovered } from "./forecast.js";
+import { jobOrder, placeRound, startable, teamUsage, underLimit, unseenUsage } from "./place.js";
 
 /** Attempts are a token and a count within its term, so that they never repeat. */
 const ATTEMPTS_PER_TOKEN = 2 ** 20;
@@ -31,6 +32,9 @@
 /** A machine on which so many jobs fail, with no success between, is at fault itself. */
 const FAULTY_MACHINE_JOBS = 2;
 
+/** The weight of one more task in what is known of a class's estimates. */
+const LEARNING = 0.1;
+
 export interface Completion {
   guards: Guard[];
   writes: Write[];
@@ -47,6 +51,8 @@
   private readonly dirty = new Map<Job, Set<number>>();
   /** Chunks of completed tasks of jobs that are over: to be cleared away when there is room. */
   private readonly leftovers = new Set<string>();
+  /** What tasks really take for each second of their estimate, by class. */
+  private readonly ratios = new Map<string, number>();
   private attempts = 0;
   private resumeAt: string | null = null;
   private readonly leaseMs: number;
@@ -158,6 +164,7 @@
       termToken: this.termToken,
       reportMs: this.settings.workers.reportMs,
       ended: (job, index, where, cause) => this.ended(job, index, where, cause, now),
+      finished: (placement) => this.learn(placement, now),
     });
     if (machine.up && !wasUp) this.log.info({ host: machine.host, share: this.n }, "machine heard");
     if (machine.heard) machine.inCensus = false;
@@ -235,6 +242,7 @@
         state: "assigned",
         since: now,
         stop: null,
+        resumed: job.stopped.has(index),
       };
       job.active.set(index, placement);
       machine.placements.add(placement);
@@ -387,32 +395,59 @@
     };
   }
 
-  /** Tasks that could run now but for lack of machines, alike ones together; limits of teams respected. */
+  /** Tasks that need machines yet to be rented, alike ones together; limits of teams respected. */
   private demand(now: number): Demand[] {
     const input = this.roundInput(now);
     const usage = teamUsage(this.jobs.values());
     const unseen = unseenUsage(input.machines, input.types);
-    const groups = new Map<string, Demand>();
-    for (const job of [...this.jobs.values()].filter((j) => j.waiting > 0 && startable(j, input))) {
+    const waiting = new Map<Job, number>();
+    for (const job of [...this.jobs.values()]
+      .filter((j) => j.waiting > 0 && startable(j, input))
+      .sort(jobOrder)) {
       const { spec } = job;
       const team = this.settings.teams.find((t) => t.name === spec.team);
       const used = usage.get(spec.team)!;
       let count = 0;
-      while (count < job.waiting && underLimit(team, used, unseen, spec)) {
+      for (; count < job.waiting && underLimit(team, used, unseen, spec); count++) {
         used.cpus += spec.cpus;
         used.gpus += spec.gpus;
-        count++;
       }
-      if (count === 0) continue;
-      const { cpus, gpus, memoryGb, spot, priority } = spec;
-      const group = { cpus, gpus, memoryGb, types: spec.types ?? [], zone: spec.zone ?? "", spot, priority };
-      const key = JSON.stringify(group);
-      const known = groups.get(key);
-      if (known) known.count += count;
-      else groups.set(key, { ...group, count });
+      if (count > 0) waiting.set(job, count);
     }
-    return [...groups.values()];
+    const rest = uncovered({
+      waiting,
+      machines: input.machines,
+      types: input.types,
+      objectives: this.settings.objectives,
+      now,
+      wallNow: Date.now(),
+      ratio: (className) => this.ratios.get(className) ?? 1,
+    });
+    return groupDemand(rest);
+  }
+
+  /** Learns how estimates of a class compare with what its tasks really take. */
+  private learn(placement: Placement, now: number): void {
+    const { className, estimateS, checkpointS } = placement.job.spec;
+    // A task that saves may have gone on from where it was stopped, and then says little.
+    if (placement.state !== "running" || estimateS <= 0 || (checkpointS > 0 && placement.resumed)) return;
+    const seen = (now - placement.since) / 1000 / estimateS;
+    const known = this.ratios.get(className);
+    this.ratios.set(className, known === undefined ? seen : known + (seen - known) * LEARNING);
+  }
+}
+
+function groupDemand(rest: Map<Job, number>): Demand[] {
+  const groups = new Map<string, Demand>();
+  for (const [{ spec }, count] of rest) {
+    const { cpus, gpus, memoryGb, spot, priority } = spec;
+    const group = { cpus, gpus, memoryGb, types: spec.types ?? [], zone: spec.zone ?? "", spot, priority };
+    const key = JSON.stringify(group);
+    const known = groups.get(key);
+    if (known) known.count += count;
+    else groups.set(key, { ...group, count });
   }
+  return [...groups.values()];
 }
 
 function summarise(machine: Machine, now: number): MachineSummary {
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -13,6 +13,8 @@
   state: "assigned" | "fetching" | "running" | "saving";
   since: number;
   /** Set once it has been decided to stop this attempt: why, and how long it may take to save. */
+  /** Whether an earlier attempt of this task was stopped, so that this one may go on from its checkpoint. */
+  resumed: boolean;
   stop: { why: "preempt" | "drain"; graceS: number } | null;
 }
 
@@ -26,6 +28,8 @@
   /** Machines on which a task of this job failed. */
   readonly failedOn = new Set<string>();
   failures = 0;
+  /** Tasks whose last attempt was stopped or lost. */
+  readonly stopped = new Set<number>();
   /** Steady time before which nothing of this job starts. */
   notBefore = -Infinity;
   private cursor = 0;
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -11,6 +11,8 @@
   /** The token with which this owner's term began: a worker that has seen it follows no earlier owner. */
   termToken: number;
   reportMs: number;
+  /** Tells of an attempt of ours that came to its end with a result. */
+  finished(placement: Placement): void;
   /** Tells of a task that ended on this machine; `done` ones have been added to the job already. */
   ended(job: Job, index: number, machine: Machine, cause: NonNullable<TaskReport["cause"]>): void;
 }
@@ -67,6 +69,7 @@
   const ours = placement !== undefined && seen.has(placement);
   if (task.state === "exited") {
     if (ours) release(placement);
+    if (ours && task.cause === "done") context.finished(placement);
     if (job === undefined) return [forget];
     if (task.cause === "done") {
       // A result counts whichever attempt brought it. It is reaped only once it is durable.
@@ -98,6 +101,7 @@
     state: task.state,
     since: context.now,
     stop: null,
+    resumed: true,
   };
   job.active.set(index, adopted);
   machine.placements.add(adopted);
@@ -143,6 +147,7 @@
 /** The task is proven not to be on its machine any more. */
 export function release(placement: Placement): void {
   placement.machine.placements.delete(placement);
+  if (placement.state !== "assigned") placement.job.stopped.add(placement.index);
   if (placement.job.active.get(placement.index) === placement) placement.job.active.delete(placement.index);
 }
 
