--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -32,6 +32,7 @@
 
 interface Room {
   machine: Machine;
+  type: MachineType;
   cpus: number;
   gpus: number;
   memoryGb: number;
@@ -97,6 +98,7 @@
     const used = machine.used();
     rooms.push({
       machine,
+      type,
       cpus: type.cpus - used.cpus,
       gpus: type.gpus - used.gpus,
       memoryGb: type.memoryGb - used.memoryGb,
@@ -171,7 +173,10 @@
   return null;
 }
 
-/** A machine that has the image first, then the fullest: emptier ones are left to be given back. */
+/**
+ * The cheapest kind first, then one that has the image, then the fullest: dear and empty machines are left to run
+ * dry and be given back.
+ */
 function bestRoom(job: Job, rooms: Room[], zones: Map<string, number>): Room | null {
   let best: Room | null = null;
   let bestScore = -Infinity;
@@ -182,7 +187,10 @@
       room.gpus + EPSILON >= spec.gpus &&
       room.memoryGb + EPSILON >= spec.memoryGb;
     if (!fits || !zoneAllowed(job, room.machine.record.zone, zones)) continue;
-    const score = (room.machine.images.has(spec.image) ? 1000 : 0) - room.cpus;
+    const score =
+      (room.machine.record.spot ? 2 : 0) +
+      (room.machine.images.has(spec.image) ? 1 : 0) -
+      room.cpus / (1 + (room.type.cpus || 1));
     if (score > bestScore) [best, bestScore] = [room, score];
   }
   return best;
