Order waiting jobs by the latest start their aims allow

Cause: with strict priority low jobs starved past aims that a little patience of others would have met.

--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -2,22 +2,17 @@
  * Which waiting tasks the machines at hand will take in time by themselves, as running tasks end. Only the others
  * are worth renting for: a machine takes its boot time to come, and by then the queue may be gone. Pure.
  */
-import type { Objective } from "../config/settings.js";
 import type { MachineType } from "../wire/index.js";
 import type { Job, Machine, Placement } from "../workers/model.js";
-import { allows, jobOrder } from "./place.js";
+import { allows } from "./place.js";
+import { expectedRunMs, fetchMs, latestStart, orderByUrgency, rentMs, type Plan } from "./urgency.js";
 
-export interface ForecastInput {
+export interface ForecastInput extends Plan {
   /** Waiting jobs and how many of their tasks may run, by their teams' limits. */
   waiting: Map<Job, number>;
   machines: Machine[];
-  types: Map<string, MachineType>;
-  objectives: Objective[];
-  /** Steady time, and time of day. */
+  /** Steady time. */
   now: number;
-  wallNow: number;
-  /** How long a task really runs for each second of its estimate, by class. */
-  ratio(className: string): number;
 }
 
 /** Room on a machine that comes free at a time. */
@@ -30,53 +25,29 @@
 
 /** A task that outruns its estimate is taken to need this part of it again. */
 const OVERRUN = 0.2;
-/** Tasks of one job differ, and the last one counts: plans allow for it. */
-const SPREAD = 1.3;
-
-export function expectedRunMs(job: Job, ratio: (className: string) => number): number {
-  return job.spec.estimateS * ratio(job.spec.className) * 1000;
-}
-
-function fetchMs(job: Job, type: MachineType): number {
-  return type.fetchGbPerS > 0 ? (job.spec.imageGb / type.fetchGbPerS) * 1000 : 0;
-}
 
 function endsIn(placement: Placement, type: MachineType, input: ForecastInput): number {
-  const run = expectedRunMs(placement.job, input.ratio);
+  const run = expectedRunMs(placement.job, input);
   if (placement.state === "saving") return placement.job.spec.saveS * 1000;
   if (placement.state === "running") return Math.max(run - (input.now - placement.since), run * OVERRUN);
   return run + fetchMs(placement.job, type);
 }
 
-/** How long a job's tasks may wait before an aim of its class is at risk; at least what renting would take. */
-export function patienceMs(job: Job, input: ForecastInput): number {
-  const age = input.wallNow - job.acceptedAt;
-  const run = expectedRunMs(job, input.ratio) * SPREAD;
-  let rent = Infinity;
-  let fetch = 0;
-  for (const type of input.types.values()) {
-    rent = Math.min(rent, type.bootS * 1000 + fetchMs(job, type));
-    fetch = Math.max(fetch, fetchMs(job, type));
-  }
-  const slacks: number[] = [];
-  if (job.spec.deadlineS !== null) slacks.push(job.spec.deadlineS * 1000 - age - run - fetch);
-  for (const aim of input.objectives) {
-    if (aim.className !== job.spec.className || aim.withinS === null) continue;
-    if (aim.kind === "finished") slacks.push(aim.withinS * 1000 - age - run - fetch);
-    if (aim.kind === "wait") slacks.push(aim.withinS * 1000 - age - fetch);
-  }
-  // What is late for one aim may still be in time for the next.
-  const open = slacks.filter((slack) => slack > 0);
-  return Math.max(open.length > 0 ? Math.min(...open) : 0, rent);
+/** How long a job's tasks may wait before an aim is at risk; at least what renting would take. */
+function patienceMs(job: Job, input: ForecastInput): number {
+  const rent = rentMs(job, input);
+  const slack = latestStart(job, input) - input.wallNow;
+  // What is late already gains nothing from waiting longer.
+  return Math.max(slack, rent);
 }
 
 /** How many tasks of each job will not find room in time. */
 export function uncovered(input: ForecastInput): Map<Job, number> {
   const rooms = input.machines.filter((m) => m.usable).flatMap((m) => roomsOf(m, input));
   const rest = new Map<Job, number>();
-  for (const job of [...input.waiting.keys()].sort(jobOrder)) {
+  for (const job of orderByUrgency([...input.waiting.keys()], input)) {
     const patience = patienceMs(job, input);
-    const run = expectedRunMs(job, input.ratio);
+    const run = expectedRunMs(job, input);
     let count = input.waiting.get(job)!;
     const open = rooms.filter((room) => allows(job, room.machine));
     for (; count > 0; count--) {
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -1,8 +1,9 @@
 /** Where waiting tasks go: one round of decisions, within a budget of time. Pure but for the clock it is given. */
 import type { Team } from "../config/settings.js";
 import type { SteadyClock } from "../runtime/clock.js";
-import { PRIORITIES, type MachineType } from "../wire/index.js";
+import type { MachineType } from "../wire/index.js";
 import type { Job, Machine } from "../workers/model.js";
+import { orderByUrgency, type Plan } from "./urgency.js";
 
 export interface Start {
   job: Job;
@@ -10,10 +11,9 @@
   machine: Machine;
 }
 
-export interface RoundInput {
+export interface RoundInput extends Plan {
   jobs: Iterable<Job>;
   machines: Machine[];
-  types: Map<string, MachineType>;
   teams: Team[];
   now: number;
   /** Every machine of the share heard, or its lease surely over. */
@@ -45,11 +45,6 @@
 
 const EPSILON = 1e-9;
 
-export function jobOrder(a: Job, b: Job): number {
-  const rank = PRIORITIES.indexOf(b.spec.priority) - PRIORITIES.indexOf(a.spec.priority);
-  return rank || a.acceptedAt - b.acceptedAt || (a.spec.id < b.spec.id ? -1 : 1);
-}
-
 /** What each team uses, every placement counted that is not proven gone. */
 export function teamUsage(jobs: Iterable<Job>): Map<string, Usage> {
   const usage = new Map<string, Usage>();
@@ -108,7 +103,10 @@
   const all = [...input.jobs];
   const usage = teamUsage(all);
   const unseen = unseenUsage(input.machines, input.types);
-  const queue = all.filter((job) => job.waiting > 0 && startable(job, input)).sort(jobOrder);
+  const queue = orderByUrgency(
+    all.filter((job) => job.waiting > 0 && startable(job, input)),
+    input,
+  );
   const first = input.resumeAt === null ? -1 : queue.findIndex((job) => job.spec.id === input.resumeAt);
   for (let i = Math.max(0, first); i < queue.length; i++) {
     const job = queue[i]!;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -23,7 +23,8 @@
 import { readMachine } from "../workers/records.js";
 import { applyReport, isNewer, releaseAll } from "../workers/reports.js";
 import { uncovered } from "./forecast.js";
-import { jobOrder, placeRound, startable, teamUsage, underLimit, unseenUsage } from "./place.js";
+import { orderByUrgency } from "./urgency.js";
+import { placeRound, startable, teamUsage, underLimit, unseenUsage } from "./place.js";
 
 /** Attempts are a token and a count within its term, so that they never repeat. */
 const ATTEMPTS_PER_TOKEN = 2 ** 20;
@@ -282,6 +283,9 @@
       machines: [...this.machines.values()],
       types: this.types(),
       teams: this.settings.teams,
+      objectives: this.settings.objectives,
+      wallNow: Date.now(),
+      ratio: (className: string) => this.ratios.get(className) ?? 1,
       now,
       settled: this.settled,
       termToken: this.termToken,
@@ -401,28 +405,20 @@
     const usage = teamUsage(this.jobs.values());
     const unseen = unseenUsage(input.machines, input.types);
     const waiting = new Map<Job, number>();
-    for (const job of [...this.jobs.values()]
-      .filter((j) => j.waiting > 0 && startable(j, input))
-      .sort(jobOrder)) {
+    const open = [...this.jobs.values()].filter((j) => j.waiting > 0 && startable(j, input));
+    for (const job of orderByUrgency(open, input)) {
       const { spec } = job;
       const team = this.settings.teams.find((t) => t.name === spec.team);
       const used = usage.get(spec.team)!;
+      const most = job.waiting;
       let count = 0;
-      for (; count < job.waiting && underLimit(team, used, unseen, spec); count++) {
+      for (; count < most && underLimit(team, used, unseen, spec); count++) {
         used.cpus += spec.cpus;
         used.gpus += spec.gpus;
       }
       if (count > 0) waiting.set(job, count);
     }
-    const rest = uncovered({
-      waiting,
-      machines: input.machines,
-      types: input.types,
-      objectives: this.settings.objectives,
-      now,
-      wallNow: Date.now(),
-      ratio: (className) => this.ratios.get(className) ?? 1,
-    });
+    const rest = uncovered({ ...input, waiting });
     return groupDemand(rest);
   }
 
