--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -26,7 +26,7 @@
 /** A task that outruns its estimate is taken to need this part of it again. */
 const OVERRUN = 0.2;
 
-function endsIn(placement: Placement, type: MachineType, input: ForecastInput): number {
+export function endsIn(placement: Placement, type: MachineType, input: Plan & { now: number }): number {
   const run = expectedRunMs(placement.job, input);
   if (placement.state === "saving") return placement.job.spec.saveS * 1000;
   if (placement.state === "running") return Math.max(run - (input.now - placement.since), run * OVERRUN);
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -80,7 +80,7 @@
 }
 
 /** Zones that the job's other tasks leave open for one more; null for all. */
-function zoneAllowed(job: Job, zone: string, zones: Map<string, number>): boolean {
+export function zoneAllowed(job: Job, zone: string, zones: Map<string, number>): boolean {
   if (job.spec.oneZone) for (const other of zones.keys()) if (other !== zone) return false;
   return !job.spec.spread || (zones.get(zone) ?? 0) < Math.ceil(job.spec.tasks / 2);
 }
--- /dev/null
+++ b/src/placement/preempt.ts
@@ -0,0 +1,159 @@
+/**
+ * Which running tasks to stop so that more urgent ones can start. Only lower priority gives way, only where it
+ * can be had cheaply (work that is saved, or hardly begun), and only where nothing ends soon anyway. Pure.
+ */
+import type { Team } from "../config/settings.js";
+import { PRIORITIES } from "../wire/index.js";
+import type { Job, Machine, Placement } from "../workers/model.js";
+import { endsIn } from "./forecast.js";
+import {
+  allows,
+  startable,
+  teamUsage,
+  underLimit,
+  unseenUsage,
+  zoneAllowed,
+  type RoundInput,
+} from "./place.js";
+import { expectedRunMs, orderByUrgency } from "./urgency.js";
+
+interface Amounts {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+interface Room extends Amounts {
+  machine: Machine;
+  /** What may still be stopped here. */
+  victims: Placement[];
+}
+
+/** Work that cannot be saved may be thrown away while it is less than this part of the whole. */
+const HARDLY_BEGUN = 0.1;
+
+const EPSILON = 1e-9;
+const rank = (job: Job): number => PRIORITIES.indexOf(job.spec.priority);
+
+export interface PreemptInput extends RoundInput {
+  reportMs: number;
+}
+
+export function choosePreemptions(input: PreemptInput): Placement[] {
+  const jobs = [...input.jobs];
+  const waiting = jobs.filter((job) => job.waiting > 0 && startable(job, input) && rank(job) > 0);
+  if (waiting.length === 0) return [];
+  const chosen: Placement[] = [];
+  const usage = teamUsage(jobs);
+  const unseen = unseenUsage(input.machines, input.types);
+  const rooms = roomsAfterEnds(input, usage);
+  for (const job of orderByUrgency(waiting, input)) {
+    const team = input.teams.find((t) => t.name === job.spec.team);
+    const open = rooms.filter((room) => allows(job, room.machine));
+    const zones = new Map<string, number>();
+    for (const { machine } of job.active.values())
+      zones.set(machine.record.zone, (zones.get(machine.record.zone) ?? 0) + 1);
+    for (let left = job.waiting; left > 0; left--) {
+      const plan = makeRoom(job, team, open, zones, usage, unseen, input);
+      if (plan === null) break;
+      for (const victim of plan.victims) {
+        const room = rooms.find((r) => r.machine === victim.machine)!;
+        add(room, victim.job.spec, 1);
+        add(usage.get(victim.job.spec.team)!, victim.job.spec, -1);
+        room.victims.splice(room.victims.indexOf(victim), 1);
+        chosen.push(victim);
+      }
+      add(plan.room, job.spec, -1);
+      add(usage.get(job.spec.team)!, job.spec, 1);
+      const { zone } = plan.room.machine.record;
+      zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    }
+  }
+  return chosen;
+}
+
+/** Free room, what is being stopped, and what ends by itself about as soon as a stopped task would. */
+function roomsAfterEnds(input: PreemptInput, usage: Map<string, { cpus: number; gpus: number }>): Room[] {
+  const rooms: Room[] = [];
+  for (const machine of input.machines) {
+    const type = input.types.get(machine.record.type);
+    if (!type || !machine.usable) continue;
+    const room: Room = { machine, cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb, victims: [] };
+    for (const placement of machine.placements) {
+      const { spec } = placement.job;
+      const soon = spec.saveS * 1000 + 2 * input.reportMs;
+      if (placement.stop !== null || placement.job.closing || endsIn(placement, type, input) <= soon) {
+        add(usage.get(spec.team)!, spec, -1);
+        continue;
+      }
+      add(room, spec, -1);
+      if (cheapToStop(placement, input)) room.victims.push(placement);
+    }
+    // The lowest priority first, and of that what has begun last.
+    room.victims.sort((a, b) => rank(a.job) - rank(b.job) || b.since - a.since);
+    rooms.push(room);
+  }
+  return rooms;
+}
+
+function cheapToStop(placement: Placement, input: PreemptInput): boolean {
+  if (placement.state === "saving") return false;
+  if (placement.job.spec.checkpointS > 0 || placement.state !== "running") return true;
+  return input.now - placement.since < HARDLY_BEGUN * expectedRunMs(placement.job, input);
+}
+
+/** The room for one more task and what must be stopped for it; null if it cannot be had. */
+function makeRoom(
+  job: Job,
+  team: Team | undefined,
+  rooms: Room[],
+  zones: Map<string, number>,
+  usage: Map<string, { cpus: number; gpus: number }>,
+  unseen: { cpus: number; gpus: number },
+  input: PreemptInput,
+): { room: Room; victims: Placement[] } | null {
+  const used = usage.get(job.spec.team)!;
+  const limited = !underLimit(team, used, unseen, job.spec);
+  let best: { room: Room; victims: Placement[]; cost: number } | null = null;
+  for (const room of rooms) {
+    if (!zoneAllowed(job, room.machine.record.zone, zones)) continue;
+    const victims: Placement[] = [];
+    const free: Amounts = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
+    const after = { ...used };
+    for (const victim of room.victims) {
+      const enough = fits(free, job.spec) && underLimit(team, after, unseen, job.spec);
+      if (enough || rank(victim.job) >= rank(job)) break;
+      const own = victim.job.spec.team === job.spec.team;
+      // Another team's task makes room on the machine, but not under this team's limit.
+      if (limited && !own && !underLimit(team, after, unseen, job.spec)) continue;
+      victims.push(victim);
+      add(free, victim.job.spec, 1);
+      if (own) add(after, victim.job.spec, -1);
+    }
+    if (!fits(free, job.spec) || !underLimit(team, after, unseen, job.spec)) continue;
+    const cost = victims.reduce((sum, v) => sum + stopCost(v, input), 0);
+    if (best === null || cost < best.cost) best = { room, victims, cost };
+  }
+  return best;
+}
+
+/** Processor time thrown away: saving, or what was done since the last checkpoint. */
+function stopCost(victim: Placement, input: PreemptInput): number {
+  const { spec } = victim.job;
+  if (victim.state !== "running") return spec.cpus;
+  return spec.cpus * (spec.checkpointS > 0 ? spec.saveS : (input.now - victim.since) / 1000);
+}
+
+function fits(free: Amounts, need: Amounts): boolean {
+  return (
+    free.cpus + EPSILON >= need.cpus &&
+    free.gpus + EPSILON >= need.gpus &&
+    free.memoryGb + EPSILON >= need.memoryGb
+  );
+}
+
+function add(to: { cpus: number; gpus: number; memoryGb?: number }, what: Amounts, sign: 1 | -1): void {
+  to.cpus += sign * what.cpus;
+  to.gpus += sign * what.gpus;
+  if (to.memoryGb !== undefined) to.memoryGb += sign * what.memoryGb;
+}
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -125,6 +125,7 @@
     if (this.share.attemptsExhausted) this.hooks.raiseToken();
     this.share.drainNoticed();
     this.place(token);
+    this.share.preempt(now);
     this.flush();
     if (now - this.lastSummary >= this.figures.spacingMs) {
       this.lastSummary = now;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -24,6 +24,7 @@
 import { applyReport, isNewer, releaseAll } from "../workers/reports.js";
 import { uncovered } from "./forecast.js";
 import { orderByUrgency } from "./urgency.js";
+import { choosePreemptions } from "./preempt.js";
 import { placeRound, startable, teamUsage, underLimit, unseenUsage } from "./place.js";
 
 /** Attempts are a token and a count within its term, so that they never repeat. */
@@ -263,6 +264,15 @@
       .map((p) => ({ op: "start", job: p.job.spec.id, index: p.index, attempt: p.attempt }));
   }
 
+  /** Stops less urgent work where that makes room for more urgent work in time. */
+  preempt(now: number): void {
+    const input = { ...this.roundInput(now), reportMs: this.settings.workers.reportMs };
+    const victims = choosePreemptions(input);
+    for (const victim of victims)
+      victim.stop = { why: "preempt", graceS: victim.job.spec.checkpointS > 0 ? victim.job.spec.saveS : 0 };
+    if (victims.length > 0) this.log.debug({ share: this.n, stopped: victims.length }, "preempting");
+  }
+
   /** Stops what can be saved before the cloud takes its machine away. */
   drainNoticed(): void {
     const { reportMs } = this.settings.workers;
