--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -15,7 +15,7 @@
   zoneAllowed,
   type RoundInput,
 } from "./place.js";
-import { expectedRunMs, orderByUrgency } from "./urgency.js";
+import { expectedRunMs, latestStart, orderByUrgency, rentMs } from "./urgency.js";
 
 interface Amounts {
   cpus: number;
@@ -32,6 +32,7 @@
 /** Work that cannot be saved may be thrown away while it is less than this part of the whole. */
 const HARDLY_BEGUN = 0.1;
 
+const URGENT = PRIORITIES.indexOf("urgent");
 const EPSILON = 1e-9;
 const rank = (job: Job): number => PRIORITIES.indexOf(job.spec.priority);
 
@@ -41,7 +42,7 @@
 
 export function choosePreemptions(input: PreemptInput): Placement[] {
   const jobs = [...input.jobs];
-  const waiting = jobs.filter((job) => job.waiting > 0 && startable(job, input) && rank(job) > 0);
+  const waiting = jobs.filter((job) => job.waiting > 0 && startable(job, input) && cannotWait(job, input));
   if (waiting.length === 0) return [];
   const chosen: Placement[] = [];
   const usage = teamUsage(jobs);
@@ -96,6 +97,17 @@
   return rooms;
 }
 
+/** Whether a rented machine would come too late for the job. */
+function cannotWait(job: Job, input: PreemptInput): boolean {
+  return rank(job) >= URGENT || latestStart(job, input) - input.wallNow < rentMs(job, input);
+}
+
+/** Urgent work may stop anything lower. Other work stops only what has time to go on later. */
+function mayGiveWay(victim: Placement, job: Job, input: PreemptInput): boolean {
+  if (rank(job) >= URGENT) return true;
+  return latestStart(victim.job, input) - input.wallNow > 2 * rentMs(victim.job, input);
+}
+
 function cheapToStop(placement: Placement, input: PreemptInput): boolean {
   if (placement.state === "saving") return false;
   if (placement.job.spec.checkpointS > 0 || placement.state !== "running") return true;
@@ -123,6 +135,7 @@
     for (const victim of room.victims) {
       const enough = fits(free, job.spec) && underLimit(team, after, unseen, job.spec);
       if (enough || rank(victim.job) >= rank(job)) break;
+      if (!mayGiveWay(victim, job, input)) continue;
       const own = victim.job.spec.team === job.spec.team;
       // Another team's task makes room on the machine, but not under this team's limit.
       if (limited && !own && !underLimit(team, after, unseen, job.spec)) continue;
