--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -25,6 +25,8 @@
 
 /** A task that outruns its estimate is taken to need this part of it again. */
 const OVERRUN = 0.2;
+/** How much of a job's slack is left to rooms that should come free. */
+const TRUST = 0.3;
 
 export function endsIn(placement: Placement, type: MachineType, input: Plan & { now: number }): number {
   const run = expectedRunMs(placement.job, input);
@@ -37,8 +39,8 @@
 function patienceMs(job: Job, input: ForecastInput): number {
   const rent = rentMs(job, input);
   const slack = latestStart(job, input) - input.wallNow;
-  // What is late already gains nothing from waiting longer.
-  return Math.max(slack, rent);
+  // Estimates are often off by half, and more urgent jobs may yet come: only part of the slack is counted on.
+  return Math.max(slack * TRUST, rent);
 }
 
 /** How many tasks of each job will not find room in time. */
