--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -12,7 +12,7 @@
         /** The most tasks that sizing rents for at a time. */
         max_tasks: z.int().positive().default(100_000),
         /** How long a machine must stand empty before it is given back. */
-        idle_wait_s: z.number().positive().default(30),
+        idle_wait_s: z.number().positive().default(12),
         /** The least time between two passes. */
         pass_spacing_s: z.number().positive().default(1),
         /** How often the leader may move a share to another controller. */
