--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -11,8 +11,8 @@
         max_machines: z.int().positive().default(500),
         /** The most tasks that sizing rents for at a time. */
         max_tasks: z.int().positive().default(100_000),
-        /** How long a machine must stand empty before it is given back. */
-        idle_wait_s: z.number().positive().default(12),
+        /** How long a machine must stand empty before it is given back; half its type's boot time if not given. */
+        idle_wait_s: z.number().positive().optional(),
         /** The least time between two passes. */
         pass_spacing_s: z.number().positive().default(1),
         /** How often the leader may move a share to another controller. */
@@ -23,7 +23,7 @@
   .transform((file) => ({
     maxMachines: file.sizing.max_machines,
     maxTasks: file.sizing.max_tasks,
-    idleWaitMs: file.sizing.idle_wait_s * 1000,
+    idleWaitMs: file.sizing.idle_wait_s === undefined ? null : file.sizing.idle_wait_s * 1000,
     passSpacingMs: file.sizing.pass_spacing_s * 1000,
     sharePeriodMs: file.sizing.share_period_s * 1000,
   }));
--- a/src/sizing/size.ts
+++ b/src/sizing/size.ts
@@ -53,6 +53,9 @@
 /** After so many it is given back: it may never come. */
 const HOPELESS_BOOTS = 4;
 
+/** An empty machine is worth keeping for as long as getting another would take, if work came at all: half of that. */
+const IDLE_WAIT_BOOTS = 0.5;
+
 export function marketKey(market: Market): string {
   return `${market.type}/${market.zone}/${market.spot ? "spot" : "ordinary"}`;
 }
@@ -216,7 +219,10 @@
       .filter((said) => {
         const machine = view.machines.find((m) => m.host === said.host);
         if (machine === undefined || machine.drain) return false;
-        if (said.state === "idle") return said.forMs >= view.caps.idleWaitMs && said.emptyReports >= 2;
+        if (said.state === "idle") {
+          const wait = view.caps.idleWaitMs ?? IDLE_WAIT_BOOTS * bootMs(machine, types);
+          return said.forMs >= wait && said.emptyReports >= 2;
+        }
         if (said.state === "sick") return true;
         if (said.state === "silent") return !lone && said.forMs >= view.leaseMs;
         return (
--- /dev/null
+++ b/test/support/worker.ts
@@ -0,0 +1,121 @@
+/** A stand-in for one machine's worker, from the published protocol. Tasks run for a fixed, short time. */
+import { sleep } from "../../src/runtime/wait.js";
+
+interface Piece {
+  piece: string;
+  try: number;
+  stage: "running" | "exited";
+  cause?: string;
+}
+
+interface Order {
+  verb: "start" | "halt" | "reap";
+  piece: string;
+  try: number;
+}
+
+export interface WorkerFigures {
+  reportMs: number;
+  leaseMs: number;
+  runMs: number;
+}
+
+export class WorkerStandIn {
+  /** Every start of a task, and every end, for the tests to look at. */
+  readonly starts: string[] = [];
+  readonly running = new Set<string>();
+  private pieces: Piece[] = [];
+  private tenure = 1;
+  private tick = 0;
+  private baton = 0;
+  private node = 0;
+  private stopped = false;
+
+  constructor(
+    readonly host: string,
+    private readonly zone: string,
+    private readonly spot: boolean,
+    private readonly controllers: { node: string; address: string }[],
+    private readonly figures: WorkerFigures,
+    private readonly started: (piece: string, host: string) => void,
+  ) {
+    void this.run();
+  }
+
+  /** The cloud takes the machine away. */
+  stop(): void {
+    this.stopped = true;
+    this.running.clear();
+  }
+
+  private async run(): Promise<void> {
+    let answeredAt = performance.now();
+    while (!this.stopped) {
+      const sentAt = performance.now();
+      if (sentAt - answeredAt > this.figures.leaseMs) {
+        this.tenure++;
+        this.pieces = [];
+        this.running.clear();
+        answeredAt = sentAt;
+      }
+      if (await this.report()) answeredAt = sentAt;
+      await sleep(this.figures.reportMs);
+    }
+  }
+
+  private async report(): Promise<boolean> {
+    const { tenure } = this;
+    const body = {
+      host: this.host,
+      addr: "127.0.0.1:1",
+      breed: "small",
+      bank: this.zone,
+      loaners: this.spot,
+      tenure,
+      tick: ++this.tick,
+      baton: this.baton,
+      recallS: null,
+      pieces: this.pieces,
+    };
+    try {
+      const response = await fetch(`http://${this.controllers[this.node]!.address}/agent/beat`, {
+        method: "POST",
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(this.figures.leaseMs / 2),
+      });
+      const answer = (await response.json()) as { baton?: number; orders?: Order[]; overseer?: string };
+      const named = this.controllers.findIndex((c) => c.node === answer.overseer);
+      if (response.status === 200 && (answer.baton ?? -1) >= this.baton) {
+        this.baton = answer.baton!;
+        for (const order of answer.orders ?? []) this.carryOut(order);
+        return true;
+      }
+      this.node = named >= 0 ? named : (this.node + 1) % this.controllers.length;
+    } catch {
+      this.node = (this.node + 1) % this.controllers.length;
+    }
+    return false;
+  }
+
+  private carryOut(order: Order): void {
+    const known = this.pieces.find((p) => p.piece === order.piece && p.try === order.try);
+    if (order.verb === "reap") this.pieces = this.pieces.filter((p) => p !== known || p.stage !== "exited");
+    if (order.verb === "halt" && known?.stage === "running") this.exit(known, "halted");
+    if (order.verb !== "start" || known) return;
+    const piece: Piece = { piece: order.piece, try: order.try, stage: "running" };
+    this.pieces.push(piece);
+    this.running.add(order.piece);
+    this.starts.push(order.piece);
+    this.started(order.piece, this.host);
+    const { tenure } = this;
+    setTimeout(() => {
+      if (!this.stopped && this.tenure === tenure && piece.stage === "running") this.exit(piece, "done");
+    }, this.figures.runMs);
+  }
+
+  private exit(piece: Piece, cause: string): void {
+    piece.stage = "exited";
+    piece.cause = cause;
+    this.running.delete(piece.piece);
+  }
+}
