--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,6 +7,7 @@
 import type { OperatorSettings } from "./config/operator.js";
 import type { Settings } from "./config/settings.js";
 import { createApp, type Routed } from "./http/app.js";
+import { Parting } from "./jobs/parting.js";
 import { JobService } from "./jobs/service.js";
 import { Membership } from "./membership/membership.js";
 import type { PeerReply, PeerRequest, Summary } from "./peers/messages.js";
@@ -69,6 +70,7 @@
   private readonly sizer: Sizer;
   private readonly peers: Peers;
   private readonly jobs: JobService;
+  private readonly parting: Parting;
   private readonly keepers = new Map<number, Kept>();
   private readonly figures: ReturnType<typeof deriveFigures>;
   private typesByName = new Map<string, MachineType>();
@@ -80,6 +82,7 @@
     private readonly log: Logger,
   ) {
     const figures = (this.figures = deriveFigures(settings, operator));
+    this.parting = new Parting(settings.teams, settings.controllers);
     const sockets = Math.max(4, Math.floor(settings.sockets / 50));
     this.state = new StateClient(
       new JsonHttp(settings.stateAddress, sockets),
@@ -130,6 +133,7 @@
       this.state,
       this.replica,
       () => this.typesByName,
+      this.parting,
       (share, job) => this.countsOf(share, job),
       log,
     );
@@ -247,9 +251,10 @@
     return kept;
   }
 
+  /** To all, not only to the leader: whoever accepts a job chooses its share by the loads. */
   private sendSummary(summary: Summary): void {
-    const leader = this.membership.leader();
-    if (leader !== null) this.askNode(leader, { summary }).catch(() => undefined);
+    for (const node of [this.settings.node, ...this.settings.peers.map((p) => p.node)])
+      this.askNode(node, { summary }).catch(() => undefined);
   }
 
   private askNode(node: string | null, request: PeerRequest): Promise<PeerReply> {
@@ -259,6 +264,8 @@
 
   private async answerPeer(request: PeerRequest): Promise<PeerReply> {
     if ("summary" in request) {
+      const { share, load } = request.summary;
+      this.parting.note(share, { capacity: load.cpus, backlog: load.waiting + load.used - load.cpus });
       await this.sizer.ask<boolean>((reply) => ({ kind: "summary", summary: request.summary, reply }));
       return NOTHING;
     }
--- a/src/jobs/service.ts
+++ b/src/jobs/service.ts
@@ -11,7 +11,8 @@
 import type { JobSpec, JobStage, JobStatus, MachineType } from "../wire/index.js";
 import { admit } from "./admission.js";
 import { Bits } from "./bits.js";
-import { readDone, readEnded, readJob, shareOf, type EndedRecord, type JobRecord } from "./records.js";
+import type { Parting } from "./parting.js";
+import { readDone, readEnded, readJob, type EndedRecord, type JobRecord } from "./records.js";
 
 export type SubmitResult =
   | { kind: "accepted"; stage: JobStage; fresh: boolean }
@@ -35,6 +36,7 @@
     private readonly state: StateClient,
     private readonly view: ReplicaView,
     private readonly types: () => Map<string, MachineType>,
+    private readonly parting: Parting,
     private readonly countsOf: CountsOf,
     private readonly log: Logger,
   ) {}
@@ -49,7 +51,7 @@
         if (known.kind === "found") return { kind: "accepted", stage: known.status.stage, fresh: false };
         return admission === null || known.kind === "unavailable" ? { kind: "unavailable" } : admission;
       }
-      const record: JobRecord = { spec, acceptedAt: Date.now() };
+      const record: JobRecord = { spec, share: this.parting.shareFor(spec), acceptedAt: Date.now() };
       const commit = await this.state.commit(
         [
           { key: keys.job(spec.id), version: 0 },
@@ -74,8 +76,7 @@
       if (entry === null) return this.lookEnded(id);
       const job = readJob(entry.value);
       if (job === null) return { kind: "unavailable" };
-      const share = shareOf(job.spec, this.settings.teams, this.settings.controllers);
-      const counts = (await this.countsOf(share, id)) ?? {
+      const counts = (await this.countsOf(job.share, id)) ?? {
         done: this.durablyDone(id, job.spec.tasks),
         running: 0,
       };
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -20,7 +20,7 @@
   }
 }
 
-// An owner tells the leader what waits in a share and how its machines are.
+// An owner tells all controllers what waits in a share and how its machines are; the leader sizes by it.
 message Summary {
   uint32 share = 1;
   uint64 token = 2;
@@ -28,8 +28,12 @@
   bool settled = 3;
   repeated Demand demand = 4;
   repeated Machine machines = 5;
+  Load load = 6;
 }
 
+// Machines that are up, those of them without a task, and processors: all, used, waited for.
+message Load { uint32 up = 1; uint32 empty = 2; double cpus = 3; double used = 4; double waiting = 5; }
+
 // Tasks that could run now but for lack of machines.
 message Demand {
   double cpus = 1;
@@ -85,10 +89,19 @@
   emptyReports: number;
 }
 
+export interface ShareLoad {
+  up: number;
+  empty: number;
+  cpus: number;
+  used: number;
+  waiting: number;
+}
+
 export interface Summary {
   share: number;
   token: number;
   settled: boolean;
+  load: ShareLoad;
   demand: Demand[];
   machines: MachineSummary[];
 }
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -129,7 +129,9 @@
     this.flush();
     if (now - this.lastSummary >= this.figures.spacingMs) {
       this.lastSummary = now;
-      this.hooks.summary(this.share.summary(token, now));
+      const summary = this.share.summary(token, now);
+      this.log.debug({ share: this.share.n, ...summary.load, demand: summary.demand }, "load");
+      this.hooks.summary(summary);
     }
   }
 
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -4,8 +4,8 @@
  */
 import type { Settings } from "../config/settings.js";
 import { CHUNK_TASKS } from "../jobs/bits.js";
-import { readDone, readJob, shareOf } from "../jobs/records.js";
-import type { Demand, MachineSummary, Summary } from "../peers/messages.js";
+import { readDone, readJob } from "../jobs/records.js";
+import type { Demand, MachineSummary, ShareLoad, Summary } from "../peers/messages.js";
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
 import { keys, prefixes } from "../state/keys.js";
@@ -105,7 +105,7 @@
     if (this.jobs.has(id)) return;
     const record = readJob(change.value);
     if (record === null) return void this.log.error({ key: change.key }, "unreadable job record");
-    if (shareOf(record.spec, this.settings.teams, this.settings.controllers) !== this.n) return;
+    if (record.share !== this.n) return;
     this.jobs.set(id, Job.fromRecord(record, change.version));
   }
 
@@ -393,6 +393,20 @@
     }
   }
 
+  /** How full the share is, and what waits, in processors. */
+  private load(): ShareLoad {
+    const load = { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 };
+    for (const machine of this.machines.values()) {
+      if (!machine.up) continue;
+      load.up++;
+      load.cpus += this.types().get(machine.record.type)?.cpus ?? 0;
+      load.used += machine.used().cpus;
+      if (machine.placements.size === 0) load.empty++;
+    }
+    for (const job of this.jobs.values()) load.waiting += job.waiting * job.spec.cpus;
+    return load;
+  }
+
   counts(id: string): { known: boolean; done: number; running: number } {
     const job = this.jobs.get(id);
     if (job === undefined) return { known: false, done: 0, running: 0 };
@@ -404,6 +418,7 @@
       share: this.n,
       token,
       settled: this.settled,
+      load: this.load(),
       demand: this.demand(now),
       machines: [...this.machines.values()].map((m) => summarise(m, now)),
     };
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -79,7 +79,7 @@
           checkpointS: number(event, "checkpoint", 0),
           saveS: number(event, "save", 0),
         });
-        return change(view.put(keys.job(name), { spec, acceptedAt: ++version }, version));
+        return change(view.put(keys.job(name), { spec, share: 0, acceptedAt: ++version }, version));
       }
       case "machine": {
         const zone = event.options.get("zone") ?? "north";
