--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -14,7 +14,6 @@
 export interface RoundInput extends Plan {
   jobs: Iterable<Job>;
   machines: Machine[];
-  teams: Team[];
   now: number;
   /** Every machine of the share heard, or its lease surely over. */
   settled: boolean;
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -1,9 +1,10 @@
 /** How long a job may wait: the latest time at which its tasks should start for its aims to be met. Pure. */
-import type { Objective } from "../config/settings.js";
+import type { Objective, Team } from "../config/settings.js";
 import { PRIORITIES, type MachineType } from "../wire/index.js";
 import type { Job } from "../workers/model.js";
 
 export interface Plan {
+  teams: Team[];
   types: Map<string, MachineType>;
   objectives: Objective[];
   /** Time of day, as jobs are dated. */
@@ -34,17 +35,23 @@
   return Number.isFinite(least) ? least : 0;
 }
 
-/** The latest start for the nearest aim that can still be met, as time of day. */
-export function latestStart(job: Job, plan: Plan): number {
+interface Window {
+  /** The latest start for the nearest aim that can still be met, and when the job is due then; time of day. */
+  start: number;
+  due: number;
+}
+
+function windowOf(job: Job, plan: Plan): Window {
   const { spec, acceptedAt } = job;
   const run = expectedRunMs(job, plan) * SPREAD;
   let fetch = 0;
   for (const type of plan.types.values()) fetch = Math.max(fetch, fetchMs(job, type));
-  const starts: number[] = [];
+  const windows: Window[] = [];
   let last = 0;
   const aim = (withinMs: number, lead: number): void => {
     last = Math.max(last, withinMs);
-    starts.push(acceptedAt + withinMs - lead);
+    const start = acceptedAt + withinMs - lead;
+    windows.push({ start, due: start + run + fetch });
   };
   if (spec.deadlineS !== null) aim(spec.deadlineS * 1000, run + fetch);
   for (const { className, kind, withinS } of plan.objectives) {
@@ -52,19 +59,57 @@
     if (kind === "finished") aim(withinS * 1000, run + fetch);
     if (kind === "wait") aim(withinS * 1000, fetch);
   }
-  if (starts.length === 0) return acceptedAt + UNAIMED_BOOTS[spec.priority] * rentMs(job, plan);
-  const open = starts.filter((start) => start >= plan.wallNow);
-  return open.length > 0 ? Math.min(...open) : acceptedAt + LATE * last;
+  const late = windows.length === 0 ? UNAIMED_BOOTS[spec.priority] * rentMs(job, plan) : LATE * last;
+  const open = windows.filter((w) => w.start >= plan.wallNow);
+  if (open.length === 0) return { start: acceptedAt + late, due: acceptedAt + late + run + fetch };
+  return open.reduce((a, b) => (b.start < a.start ? b : a));
+}
+
+export function latestStart(job: Job, plan: Plan): number {
+  return windowOf(job, plan).start;
+}
+
+/**
+ * The jobs to leave behind where a team's limit cannot hold all of its jobs in time: by due time, the largest so far
+ * gives way whenever one would be late. That leaves the most jobs in time (Moore's rule for one machine).
+ */
+function leftBehind(jobs: Job[], windows: Map<Job, Window>, plan: Plan): Set<Job> {
+  const behind = new Set<Job>();
+  for (const team of plan.teams) {
+    if (team.cpusMax <= 0) continue;
+    const own = jobs.filter((j) => j.spec.team === team.name);
+    own.sort((a, b) => windows.get(a)!.due - windows.get(b)!.due);
+    const kept: { job: Job; ms: number }[] = [];
+    let at = plan.wallNow;
+    for (const job of own) {
+      const left = job.spec.tasks - job.done.count;
+      const ms = (left * job.spec.cpus * expectedRunMs(job, plan)) / team.cpusMax;
+      kept.push({ job, ms });
+      at += ms;
+      if (at <= windows.get(job)!.due) continue;
+      const largest = kept.reduce((a, b) => (b.ms > a.ms ? b : a));
+      kept.splice(kept.indexOf(largest), 1);
+      at -= largest.ms;
+      behind.add(largest.job);
+    }
+  }
+  return behind;
 }
 
-/** Urgent and critical work first; the rest by how long it can wait. */
+/** Urgent and critical work first, then what can be in time, by how long it can wait; what cannot comes last. */
 export function orderByUrgency(jobs: Job[], plan: Plan): Job[] {
   const first = PRIORITIES.indexOf("urgent");
+  const windows = new Map(jobs.map((job) => [job, windowOf(job, plan)]));
+  const behind = leftBehind(jobs, windows, plan);
   const keyed = jobs.map((job) => ({
     job,
     rank: Math.max(first, PRIORITIES.indexOf(job.spec.priority)),
-    start: latestStart(job, plan),
+    behind: behind.has(job) ? 1 : 0,
+    start: windows.get(job)!.start,
   }));
-  keyed.sort((a, b) => b.rank - a.rank || a.start - b.start || (a.job.spec.id < b.job.spec.id ? -1 : 1));
+  keyed.sort(
+    (a, b) =>
+      b.rank - a.rank || a.behind - b.behind || a.start - b.start || (a.job.spec.id < b.job.spec.id ? -1 : 1),
+  );
   return keyed.map((k) => k.job);
 }
