--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -15,7 +15,7 @@
   zoneAllowed,
   type RoundInput,
 } from "./place.js";
-import { expectedRunMs, latestStart, orderByUrgency, rentMs } from "./urgency.js";
+import { expectedRunMs, latestStart, orderByUrgency, rentMs, slackOfRunning } from "./urgency.js";
 
 interface Amounts {
   cpus: number;
@@ -48,14 +48,21 @@
   const usage = teamUsage(jobs);
   const unseen = unseenUsage(input.machines, input.types);
   const rooms = roomsAfterEnds(input, usage);
-  for (const job of orderByUrgency(waiting, input)) {
+  // What placing would serve after its victims must not stop them: they would only start again before it.
+  const place = new Map(
+    orderByUrgency(
+      jobs.filter((job) => job.waiting > 0 || job.active.size > 0),
+      input,
+    ).map((job, i) => [job, i]),
+  );
+  for (const job of waiting.sort((a, b) => place.get(a)! - place.get(b)!)) {
     const team = input.teams.find((t) => t.name === job.spec.team);
     const open = rooms.filter((room) => allows(job, room.machine));
     const zones = new Map<string, number>();
     for (const { machine } of job.active.values())
       zones.set(machine.record.zone, (zones.get(machine.record.zone) ?? 0) + 1);
     for (let left = job.waiting; left > 0; left--) {
-      const plan = makeRoom(job, team, open, zones, usage, unseen, input);
+      const plan = makeRoom(job, team, open, zones, usage, unseen, place, input);
       if (plan === null) break;
       for (const victim of plan.victims) {
         const room = rooms.find((r) => r.machine === victim.machine)!;
@@ -102,10 +109,17 @@
   return rank(job) >= URGENT || latestStart(job, input) - input.wallNow < rentMs(job, input);
 }
 
-/** Urgent work may stop anything lower. Other work stops only what has time to go on later. */
+/**
+ * Urgent work may stop anything lower. Other work stops only what has time to go on later, and nothing twice:
+ * guards against two jobs that stop each other's tasks in turn.
+ */
 function mayGiveWay(victim: Placement, job: Job, input: PreemptInput): boolean {
   if (rank(job) >= URGENT) return true;
-  return latestStart(victim.job, input) - input.wallNow > 2 * rentMs(victim.job, input);
+  if (victim.resumed) return false;
+  const type = input.types.get(victim.machine.record.type);
+  if (type === undefined) return false;
+  const setBack = 2 * rentMs(victim.job, input) + victim.job.spec.saveS * 1000;
+  return slackOfRunning(victim.job, endsIn(victim, type, input), input) > setBack;
 }
 
 function cheapToStop(placement: Placement, input: PreemptInput): boolean {
@@ -122,6 +136,7 @@
   zones: Map<string, number>,
   usage: Map<string, { cpus: number; gpus: number }>,
   unseen: { cpus: number; gpus: number },
+  place: Map<Job, number>,
   input: PreemptInput,
 ): { room: Room; victims: Placement[] } | null {
   const used = usage.get(job.spec.team)!;
@@ -135,7 +150,7 @@
     for (const victim of room.victims) {
       const enough = fits(free, job.spec) && underLimit(team, after, unseen, job.spec);
       if (enough || rank(victim.job) >= rank(job)) break;
-      if (!mayGiveWay(victim, job, input)) continue;
+      if (place.get(victim.job)! < place.get(job)! || !mayGiveWay(victim, job, input)) continue;
       const own = victim.job.spec.team === job.spec.team;
       // Another team's task makes room on the machine, but not under this team's limit.
       if (limited && !own && !underLimit(team, after, unseen, job.spec)) continue;
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -69,6 +69,20 @@
   return windowOf(job, plan).start;
 }
 
+/**
+ * How long a running task could be set back and its job still meet the aim that it is about to meet; without bound
+ * where there is no such aim.
+ */
+export function slackOfRunning(job: Job, remainingMs: number, plan: Plan): number {
+  const { spec, acceptedAt } = job;
+  const within = plan.objectives
+    .filter((aim) => aim.className === spec.className && aim.kind === "finished" && aim.withinS !== null)
+    .map((aim) => aim.withinS!);
+  if (spec.deadlineS !== null) within.push(spec.deadlineS);
+  const slacks = within.map((s) => acceptedAt + s * 1000 - plan.wallNow - remainingMs);
+  return Math.min(Infinity, ...slacks.filter((slack) => slack >= 0));
+}
+
 /**
  * The jobs to leave behind where a team's limit cannot hold all of its jobs in time: by due time, the largest so far
  * gives way whenever one would be late. That leaves the most jobs in time (Moore's rule for one machine).
