Rank urgent work above normal as meant; more tests

Cause: a test of the order showed that the ranks were cut off one too high, so urgent jobs were ordered by slack alone.

--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -112,12 +112,13 @@
 
 /** Urgent and critical work first, then what can be in time, by how long it can wait; what cannot comes last. */
 export function orderByUrgency(jobs: Job[], plan: Plan): Job[] {
-  const first = PRIORITIES.indexOf("urgent");
+  // Normal and lower work shares one rank, below urgent.
+  const shared = PRIORITIES.indexOf("normal");
   const windows = new Map(jobs.map((job) => [job, windowOf(job, plan)]));
   const behind = leftBehind(jobs, windows, plan);
   const keyed = jobs.map((job) => ({
     job,
-    rank: Math.max(first, PRIORITIES.indexOf(job.spec.priority)),
+    rank: Math.max(shared, PRIORITIES.indexOf(job.spec.priority)),
     behind: behind.has(job) ? 1 : 0,
     start: windows.get(job)!.start,
   }));
--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,43 @@
+/** What controllers say to each other survives the wire, whole or in pieces; broken bytes do not get through. */
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { FrameReader, frameBytes } from "../src/peers/framing.js";
+import { Peers, PeerSilent } from "../src/peers/links.js";
+import type { Frame } from "../src/peers/messages.js";
+import { silent } from "./support/records.js";
+
+const frames: Frame[] = [
+  { id: 1, reply: false, body: { drain: { share: 2, hosts: ["i-1", "i-2"] } } },
+  { id: 1, reply: true, body: { accepted: { hosts: [] } } },
+  { id: 2, reply: true, body: { counts: { known: true, done: 3, running: 0 } } },
+];
+
+test("frames come out as they went in, however the bytes are cut", async () => {
+  const bytes = Buffer.concat(frames.map(frameBytes));
+  for (const size of [1, 3, bytes.byteLength]) {
+    const reader = new FrameReader();
+    for (let at = 0; at < bytes.byteLength; at += size) reader.write(bytes.subarray(at, at + size));
+    reader.end();
+    assert.deepEqual(await reader.toArray(), frames);
+  }
+});
+
+test("an oversize or broken frame ends the connection and nothing else", async () => {
+  const peers = new Peers([], 1000, silent);
+  const port = await peers.listen("127.0.0.1:0", () => Promise.resolve({ accepted: { hosts: ["i-9"] } }));
+  for (const bytes of [Buffer.from([255, 255, 255, 255]), Buffer.from([0, 0, 0, 3, 250, 251, 252])]) {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    socket.write(bytes);
+    await once(socket, "close");
+  }
+  const asker = new Peers([{ node: "b", address: `127.0.0.1:${port}` }], 5000, silent);
+  assert.deepEqual(await asker.ask("b", { drain: { share: 0, hosts: [] } }), {
+    accepted: { hosts: ["i-9"] },
+  });
+  await assert.rejects(asker.ask("c", { drain: { share: 0, hosts: [] } }), PeerSilent);
+  asker.close();
+  peers.close();
+});
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,162 @@
+/** Order, forecast, preemption and parting, on small cases whose answers a person can check. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Parting } from "../src/jobs/parting.js";
+import { uncovered } from "../src/placement/forecast.js";
+import { placeRound, type RoundInput } from "../src/placement/place.js";
+import { choosePreemptions } from "../src/placement/preempt.js";
+import { orderByUrgency } from "../src/placement/urgency.js";
+import type { JobSpec } from "../src/wire/index.js";
+import { Job, Machine, type Placement } from "../src/workers/model.js";
+import { jobSpec, smallType } from "./support/records.js";
+import { testSettings } from "./support/settings.js";
+
+const { teams } = testSettings();
+const NOW = 1_000_000;
+
+function job(id: string, over: Partial<JobSpec> = {}, acceptedAt = NOW): Job {
+  return new Job(jobSpec(id, over), acceptedAt, 1);
+}
+
+function machine(host: string, spot = false): Machine {
+  const record = { share: 0, type: "small", zone: "north", spot, since: 0, drain: false };
+  const made = new Machine(host, record, 0);
+  made.heard = true;
+  return made;
+}
+
+function run(on: Machine, of: Job, index: number, since = NOW): Placement {
+  const placement: Placement = {
+    job: of,
+    index,
+    attempt: index + 1,
+    machine: on,
+    state: "running",
+    since,
+    resumed: false,
+    stop: null,
+  };
+  on.placements.add(placement);
+  of.active.set(index, placement);
+  return placement;
+}
+
+function input(
+  jobs: Job[],
+  machines: Machine[],
+  over: Partial<RoundInput> = {},
+): RoundInput & { reportMs: number } {
+  return {
+    jobs,
+    machines,
+    types: new Map([[smallType.name, smallType]]),
+    teams,
+    objectives: [],
+    ratio: () => 1,
+    now: NOW,
+    wallNow: NOW,
+    settled: true,
+    termToken: 0,
+    resumeAt: null,
+    reportMs: 2000,
+    ...over,
+  };
+}
+
+test("urgent work comes first, then what can wait least for its aim", () => {
+  const objectives = [{ kind: "finished", className: "nightly", withinS: 500 }];
+  const nightly = job("req-1", { className: "nightly" });
+  const soon = job("req-2", { deadlineS: 200 });
+  const urgent = job("req-3", { priority: "urgent", deadlineS: 900 });
+  const order = orderByUrgency([nightly, soon, urgent], input([], [], { objectives }));
+  assert.deepEqual(
+    order.map((j) => j.spec.id),
+    ["req-3", "req-2", "req-1"],
+  );
+});
+
+test("where a team's limit cannot hold all in time, the largest job is left behind", () => {
+  // Four processors: the large job alone takes 600 s, the small ones 60 s each.
+  const large = job("req-1", { team: "capped", tasks: 40, deadlineS: 300 });
+  const small = ["req-2", "req-3"].map((id) => job(id, { team: "capped", tasks: 4, deadlineS: 310 }));
+  const order = orderByUrgency([large, ...small], input([], []));
+  assert.deepEqual(
+    order.map((j) => j.spec.id),
+    ["req-2", "req-3", "req-1"],
+  );
+});
+
+test("only tasks that running ones will not make room for in time are worth renting for", () => {
+  const host = machine("i-1");
+  const running = job("req-1", { tasks: 4, estimateS: 60 });
+  // Two end in 10 s, two in 50 s; a rented machine would be there in 24 s.
+  [50_000, 50_000, 10_000, 10_000].forEach((ago, i) => run(host, running, i, NOW - ago));
+  const queued = job("req-2", { tasks: 5, deadlineS: 65, estimateS: 60 });
+  const rest = uncovered({ ...input([running, queued], [host]), waiting: new Map([[queued, 5]]) });
+  assert.equal(rest.get(queued), 3);
+});
+
+test("urgent work stops lower work that saves, and no more of it than it needs", () => {
+  const host = machine("i-1");
+  const low = job("req-1", { tasks: 4, priority: "best_effort", checkpointS: 20, saveS: 2, estimateS: 300 });
+  for (let i = 0; i < 4; i++) run(host, low, i);
+  const urgent = job("req-2", { tasks: 2, priority: "urgent" });
+  const victims = choosePreemptions(input([low, urgent], [host]));
+  assert.equal(victims.length, 2);
+});
+
+test("work that cannot be saved is not thrown away once it is well begun, and equals do not stop each other", () => {
+  const host = machine("i-1");
+  const low = job("req-1", { tasks: 4, priority: "best_effort", estimateS: 100 });
+  for (let i = 0; i < 4; i++) run(host, low, i, NOW - 50_000);
+  const urgent = job("req-2", { priority: "urgent" });
+  assert.deepEqual(choosePreemptions(input([low, urgent], [host])), []);
+  const other = machine("i-2");
+  const equal = job("req-3", { tasks: 4, priority: "urgent", checkpointS: 20, estimateS: 300 });
+  for (let i = 0; i < 4; i++) run(other, equal, i);
+  assert.deepEqual(choosePreemptions(input([equal, urgent], [other])), []);
+});
+
+test("a task that was stopped once is not stopped again for work that is not urgent", () => {
+  const host = machine("i-1");
+  const low = job("req-1", { tasks: 4, priority: "best_effort", checkpointS: 20, saveS: 2, estimateS: 300 });
+  for (let i = 0; i < 4; i++) run(host, low, i).resumed = true;
+  const normal = job("req-2", { deadlineS: 85 });
+  assert.deepEqual(choosePreemptions(input([low, normal], [host])), []);
+  for (const placement of host.placements) placement.resumed = false;
+  assert.equal(choosePreemptions(input([low, normal], [host])).length, 1);
+});
+
+test("a round that runs out of time says where the next one goes on", () => {
+  const jobs = ["req-1", "req-2", "req-3"].map((id, i) => job(id, {}, NOW + i));
+  const host = machine("i-1");
+  // Each look at the clock takes all of the time there is: one job a round.
+  const round = placeRound(input(jobs, [host]), () => 10, 5);
+  assert.deepEqual([round.starts.length, round.resumeAt], [1, "req-2"]);
+  const next = placeRound(input(jobs, [host], { resumeAt: "req-2" }), () => 0, 5);
+  assert.deepEqual([next.starts.map((s) => s.job.spec.id), next.resumeAt], [["req-2", "req-3"], null]);
+});
+
+test("spot machines are filled before ordinary ones, and a fuller one before an empty one", () => {
+  const [ordinary, empty, fuller] = [machine("i-1"), machine("i-2", true), machine("i-3", true)];
+  run(fuller, job("req-1"), 0);
+  const { starts } = placeRound(input([job("req-2", { tasks: 8 })], [ordinary, empty, fuller]), () => 0, 1);
+  assert.deepEqual(
+    starts.map((s) => s.machine.host),
+    ["i-3", "i-3", "i-3", "i-2", "i-2", "i-2", "i-2", "i-1"],
+  );
+});
+
+test("teams keep to their shares; jobs of a single team go where there is room", () => {
+  const several = new Parting(teams, 2);
+  several.note(1, { capacity: 8, backlog: 100 });
+  assert.equal(several.shareFor(jobSpec("req-1", { team: "capped" })), 1);
+  const single = new Parting(teams.slice(0, 1), 2);
+  single.note(0, { capacity: 8, backlog: 4 });
+  single.note(1, { capacity: 8, backlog: -4 });
+  const spec = jobSpec("req-1", { tasks: 10 });
+  // The first one fills the room that the second then does not count on.
+  assert.deepEqual([single.shareFor(spec), single.shareFor(spec)], [1, 0]);
+  const limited = new Parting(teams.slice(1, 2), 2);
+  assert.equal(limited.shareFor(jobSpec("req-1", { team: "capped" })), 0);
+});
--- /dev/null
+++ b/test/sizing.test.ts
@@ -0,0 +1,90 @@
+/** Traces of sizing: summaries and machines in; orders, moves and namings out. */
+import type { Demand, MachineCondition, Summary } from "../src/peers/messages.js";
+import { decideSizing, marketKey, type Known } from "../src/sizing/size.js";
+import { smallType } from "./support/records.js";
+import { number, traceTests, type Step } from "./support/trace.js";
+
+function newScenario(): Step {
+  let wallNow = 0;
+  const machines = new Map<string, Known>();
+  const summaries: Summary[] = [];
+  const refused = new Set<string>();
+  const caps = { maxMachines: 10, maxTasks: 1000, idleWaitMs: null };
+
+  const summary = (share: number): Summary =>
+    (summaries[share] ??= {
+      share,
+      token: 1,
+      settled: true,
+      load: { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 },
+      demand: [],
+      machines: [],
+    });
+
+  return (event) => {
+    const name = event.words[0] ?? "";
+    const share = number(event, "share", 0);
+    switch (event.verb) {
+      case "at":
+        wallNow = Number(name) * 1000;
+        return [];
+      case "share":
+        summary(Number(name)).settled = !event.options.has("unsettled");
+        return [];
+      case "wants": {
+        const demand: Demand = {
+          cpus: number(event, "cpus", 1),
+          gpus: 0,
+          memoryGb: 1,
+          types: [],
+          zone: event.options.get("zone") ?? "",
+          spot: !event.options.has("ordinary"),
+          count: Number(name),
+          priority: event.options.get("priority") ?? "normal",
+        };
+        summary(share).demand = Number(name) === 0 ? [] : [...summary(share).demand, demand];
+        return [];
+      }
+      case "machine": {
+        const spot = !event.options.has("ordinary");
+        const since = number(event, "since", wallNow / 1000) * 1000;
+        machines.set(name, { host: name, share, type: "small", zone: "north", spot, since, drain: false });
+        return [];
+      }
+      case "said": {
+        const said = {
+          host: name,
+          state: event.words[1] as MachineCondition,
+          forMs: number(event, "for", 0) * 1000,
+          emptyReports: number(event, "empty", 0),
+        };
+        const others = summary(share).machines.filter((m) => m.host !== name);
+        summary(share).machines = [...others, said];
+        return [];
+      }
+      case "refused":
+        refused.add(name);
+        return [];
+      case "pass": {
+        const { order, move, drain } = decideSizing({
+          types: [smallType],
+          zones: ["north", "south"],
+          summaries,
+          machines: [...machines.values()],
+          wallNow,
+          refused: (market) => refused.has(marketKey(market)),
+          caps,
+          leaseMs: 10_000,
+        });
+        return [
+          order && `order ${order.count} ${marketKey(order)} for share ${order.share}`,
+          move && `move ${move.hosts.join(" ")} from share ${move.share} to ${move.to}`,
+          drain && `name ${drain.hosts.join(" ")} of share ${drain.share}`,
+        ].filter((line) => line !== null);
+      }
+    }
+    throw new Error(`no such event as ${event.verb}`);
+  };
+}
+
+traceTests("sizing", newScenario);
