--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -21,6 +21,7 @@
   | { kind: "report"; report: WorkerReport; reply: (answer: ReportAnswer) => void }
   | { kind: "tick" }
   | { kind: "written" }
+  | { kind: "noted" }
   | {
       kind: "counts";
       job: string;
@@ -45,6 +46,7 @@
 
 export class ShareKeeper extends Actor<KeeperMessage> {
   private writing = false;
+  private noting = false;
   private lastWrite = -Infinity;
   private lastSummary = -Infinity;
   private token: number | null = null;
@@ -72,6 +74,9 @@
       case "tick":
         this.tick();
         return;
+      case "noted":
+        this.noting = false;
+        return;
       case "written":
         this.writing = false;
         this.flush();
@@ -108,6 +113,7 @@
     const now = this.clock();
     const commands = this.share.report(report, now);
     if (commands === null) return { kind: "refused" };
+    this.noteUp();
     if (this.place(token)) {
       const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
       for (const start of this.share.startsFor(report.host))
@@ -123,6 +129,7 @@
     this.share.expire(now);
     if (token === null) return;
     if (this.share.attemptsExhausted) this.hooks.raiseToken();
+    this.noteUp();
     this.share.drainNoticed();
     this.place(token);
     this.share.preempt(now);
@@ -140,6 +147,27 @@
     return this.share.place(token, now, this.clock, now + this.figures.roundMs) > 0;
   }
 
+  /** Notes durably which machines have come up, before anything is placed on them: see the census. */
+  private noteUp(): void {
+    const token = this.currentToken();
+    if (this.noting || token === null) return;
+    const entries = this.share
+      .newlyUp()
+      .slice(0, this.state.txnOps)
+      .flatMap((host) => this.view.get(keys.machine(host)) ?? []);
+    if (entries.length === 0) return;
+    this.noting = true;
+    const guards = [
+      { key: keys.share(this.share.n), version: token },
+      ...entries.map((e) => ({ key: e.key, version: e.version })),
+    ];
+    const writes = entries.map((e) => ({ put: e.key, value: { ...(e.value as object), up: true } }));
+    this.state
+      .commit(guards, writes)
+      .catch((err: Error) => this.log.debug({ err: err.message }, "machines not noted yet"))
+      .finally(() => this.tell({ kind: "noted" }));
+  }
+
   /** Writes completed work: one transaction at a time, each guarded by the share's record. */
   private flush(): void {
     const token = this.currentToken();
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -72,7 +72,8 @@
     const { leaseMs, reportMs } = settings.workers;
     this.leaseMs = leaseMs * (1 + 2 * CLOCK_DRIFT) + reportMs / 4;
     this.sync(view, null, startedAt);
-    for (const machine of this.machines.values()) machine.inCensus = true;
+    // A machine that never spoke to an owner has never been told to start anything.
+    for (const machine of this.machines.values()) machine.inCensus = machine.record.up;
   }
 
   /** Whether everything that an earlier owner may have left running has been seen, or is surely over. */
@@ -372,6 +373,13 @@
     };
   }
 
+  /** Machines that have spoken and whose records do not say so yet. */
+  newlyUp(): string[] {
+    return [...this.machines.values()]
+      .filter((m) => m.lastReportAt !== null && !m.record.up && !m.record.drain && !m.leaving)
+      .map((m) => m.host);
+  }
+
   /** The machines of `hosts` that are empty, so that they may leave; nothing is placed on them from now on. */
   beginLeaving(hosts: string[], anyState: boolean): string[] {
     return hosts.filter((host) => {
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -57,7 +57,7 @@
 export class Sizer extends Actor<SizerMessage> {
   private readonly summaries: { summary: Summary; at: number }[] = [];
   private readonly refusals = new Map<string, Refusal>();
-  private readonly strangers = new Map<string, Omit<MachineRecord, "drain" | "since" | "share">>();
+  private readonly strangers = new Map<string, Omit<MachineRecord, "drain" | "since" | "share" | "up">>();
   /** Hosts given back lately: the lists go on showing them for a while. */
   private readonly returned = new Map<string, number>();
   /** Hosts that a list of this term has shown, and when a list first missed them again. */
@@ -222,7 +222,7 @@
     );
     this.noteRefusal(order, hosts.length < order.count);
     const { share, type, zone, spot } = order;
-    const value: MachineRecord = { share, type, zone, spot, since: Date.now(), drain: false };
+    const value: MachineRecord = { share, type, zone, spot, since: Date.now(), drain: false, up: false };
     const fresh = hosts.filter((host) => !this.view.get(keys.machine(host)));
     const writes: Write[] = [
       ...fresh.map((h) => ({ put: keys.machine(h), value })),
@@ -290,7 +290,7 @@
       if (writes.length >= this.state.txnOps) break;
       const share = load.indexOf(Math.min(...load));
       load[share]!++;
-      const value: MachineRecord = { ...machine, share, since: Date.now(), drain: false };
+      const value: MachineRecord = { ...machine, share, since: Date.now(), drain: false, up: false };
       writes.push({ put: keys.machine(host), value });
       guards.push({ key: keys.machine(host), version: 0 });
       this.strangers.delete(host);
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -111,7 +111,9 @@
   }
 
   get usable(): boolean {
-    return this.up && !this.leaving && !this.record.drain && !this.sick && this.noticeS === null;
+    return (
+      this.up && this.record.up && !this.leaving && !this.record.drain && !this.sick && this.noticeS === null
+    );
   }
 
   get empty(): boolean {
--- a/src/workers/records.ts
+++ b/src/workers/records.ts
@@ -9,6 +9,8 @@
   /** Time of day of the order, or of when it was first seen. */
   since: z.number(),
   drain: z.boolean(),
+  /** Whether it has ever spoken to an owner. Nothing is placed on it before this is written. */
+  up: z.boolean(),
 });
 
 export type MachineRecord = z.infer<typeof machineSchema>;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -19,7 +19,7 @@
 }
 
 function machine(host: string, spot = false): Machine {
-  const record = { share: 0, type: "small", zone: "north", spot, since: 0, drain: false };
+  const record = { share: 0, type: "small", zone: "north", spot, since: 0, drain: false, up: true };
   const made = new Machine(host, record, 0);
   made.heard = true;
   return made;
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -83,7 +83,15 @@
       }
       case "machine": {
         const zone = event.options.get("zone") ?? "north";
-        const record = { share: 0, type: "small", zone, spot: false, since: 0, drain: false };
+        const record = {
+          share: 0,
+          type: "small",
+          zone,
+          spot: false,
+          since: 0,
+          drain: false,
+          up: !event.options.has("booting"),
+        };
         return change(view.put(keys.machine(name), record, ++version));
       }
       case "own":
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -48,7 +48,16 @@
       case "machine": {
         const spot = !event.options.has("ordinary");
         const since = number(event, "since", wallNow / 1000) * 1000;
-        machines.set(name, { host: name, share, type: "small", zone: "north", spot, since, drain: false });
+        machines.set(name, {
+          host: name,
+          share,
+          type: "small",
+          zone: "north",
+          spot,
+          since,
+          drain: false,
+          up: true,
+        });
         return [];
       }
       case "said": {
