--- a/src/sizing/size.ts
+++ b/src/sizing/size.ts
@@ -19,6 +19,7 @@
   /** Whether a market (type, zone, kind) has refused lately. */
   refused(market: Market): boolean;
   caps: Pick<OperatorSettings, "maxMachines" | "maxTasks" | "idleWaitMs">;
+  leaseMs: number;
 }
 
 export interface Market {
@@ -223,8 +224,7 @@
           return said.forMs >= wait && said.emptyReports >= 2;
         }
         if (said.state === "sick") return true;
-        // Its lease is over and its work lost. Left in the records it would hold up the next take-over's census.
-        if (said.state === "silent") return !lone;
+        if (said.state === "silent") return !lone && said.forMs >= view.leaseMs;
         return (
           said.state === "booting" && view.wallNow - machine.since >= HOPELESS_BOOTS * bootMs(machine, types)
         );
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -144,6 +144,7 @@
       wallNow: Date.now(),
       refused: (market) => (this.refusals.get(marketKey(market))?.until ?? -Infinity) > now,
       caps: this.operator,
+      leaseMs: this.settings.workers.leaseMs,
     });
     if (move !== null) await this.move(move);
     if (drain !== null) await this.drain(drain);
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -83,6 +83,7 @@
           wallNow,
           refused: (market) => refused.has(marketKey(market)),
           caps,
+          leaseMs: 10_000,
         });
         return [
           order && `order ${order.count} ${marketKey(order)} for share ${order.share}`,
