Let an unreadable machine record prove nothing; drop unused fields

Cause: found in reading: a machine's record that could not be read was treated like one that is gone, and its tasks as proven gone. A trace guards against it.

--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -126,6 +126,9 @@
   private syncMachine(change: Change, now: number): void {
     const host = change.key.slice(prefixes.machines.length);
     const record = readMachine(change.value);
+    // A record that cannot be read proves nothing: what is on the machine still counts.
+    if (record === null && change.value !== undefined)
+      return void this.log.error({ key: change.key }, "unreadable machine record");
     if (record === null || record.share !== this.n) return this.dropMachine(host);
     const machine = this.machines.get(host);
     if (machine) machine.record = record;
@@ -165,7 +168,6 @@
       jobs: this.jobs,
       now,
       termToken: this.termToken,
-      reportMs: this.settings.workers.reportMs,
       ended: (job, index, where, cause) => this.ended(job, index, where, cause, now),
       finished: (placement) => this.learn(placement, now),
     });
--- a/src/sizing/size.ts
+++ b/src/sizing/size.ts
@@ -10,7 +10,6 @@
 
 export interface SizingView {
   types: MachineType[];
-  zones: string[];
   /** The latest summary of each share; missing where there is none of this term. */
   summaries: (Summary | undefined)[];
   machines: Known[];
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -138,7 +138,6 @@
     if (types.length === 0) return;
     const { order, move, drain } = decideSizing({
       types,
-      zones: this.settings.zones,
       summaries: Array.from({ length: this.settings.controllers }, (_, n) => this.freshSummary(n, now)),
       machines: this.machines(),
       wallNow: Date.now(),
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -10,7 +10,6 @@
   now: number;
   /** The token with which this owner's term began: a worker that has seen it follows no earlier owner. */
   termToken: number;
-  reportMs: number;
   /** Tells of an attempt of ours that came to its end with a result. */
   finished(placement: Placement): void;
   /** Tells of a task that ended on this machine; `done` ones have been added to the job already. */
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -94,6 +94,8 @@
         };
         return change(view.put(keys.machine(name), record, ++version));
       }
+      case "garble":
+        return change(view.put(keys.machine(name), "nonsense", ++version));
       case "own":
         token = ++version;
         share = new Share(0, token, now, settings, () => types, view, silent);
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -77,7 +77,6 @@
       case "pass": {
         const { order, move, drain } = decideSizing({
           types: [smallType],
-          zones: ["north", "south"],
           summaries,
           machines: [...machines.values()],
           wallNow,
