Say once whether a task fits and which zones a job is in

Placing, preemption and forecast each had their own copy of both; they now share the ones in placement/place.ts. Membership waits with the common sleep. No decision changes.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -5,6 +5,7 @@
 import { Actor } from "../runtime/actor.js";
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
+import { sleep } from "../runtime/wait.js";
 import { keys } from "../state/keys.js";
 import { StateFailure, type StateClient } from "../state/client.js";
 import type { ReplicaView } from "../state/replica.js";
@@ -342,7 +343,7 @@
           .ok;
         if (settled) this.released.delete(share);
       } catch {
-        await new Promise((resolve) => setTimeout(resolve, this.figures.marginMs));
+        await sleep(this.figures.marginMs);
       }
     }
   }
--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -4,7 +4,7 @@
  */
 import type { MachineType } from "../wire/index.js";
 import type { Job, Machine, Placement } from "../workers/model.js";
-import { allows } from "./place.js";
+import { allows, fits, type Amounts } from "./place.js";
 import { expectedRunMs, fetchMs, latestStart, orderByUrgency, rentMs, type Plan } from "./urgency.js";
 
 export interface ForecastInput extends Plan {
@@ -16,11 +16,8 @@
 }
 
 /** Room on a machine that comes free at a time. */
-interface Piece {
+interface Piece extends Amounts {
   at: number;
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
 }
 
 /** A task that outruns its estimate is taken to need this part of it again. */
@@ -90,8 +87,6 @@
   return [{ machine, pieces: pieces.sort((a, b) => a.at - b.at) }];
 }
 
-const EPSILON = 1e-9;
-
 /** The earliest time at which the pieces free until then hold one task. */
 function firstFit(pieces: Piece[], job: Job): number | null {
   const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
@@ -99,12 +94,7 @@
     sum.cpus += piece.cpus;
     sum.gpus += piece.gpus;
     sum.memoryGb += piece.memoryGb;
-    if (
-      sum.cpus + EPSILON >= job.spec.cpus &&
-      sum.gpus + EPSILON >= job.spec.gpus &&
-      sum.memoryGb + EPSILON >= job.spec.memoryGb
-    )
-      return piece.at;
+    if (fits(sum, job.spec)) return piece.at;
   }
   return null;
 }
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -29,14 +29,17 @@
   resumeAt: string | null;
 }
 
-interface Room {
-  machine: Machine;
-  type: MachineType;
+export interface Amounts {
   cpus: number;
   gpus: number;
   memoryGb: number;
 }
 
+interface Room extends Amounts {
+  machine: Machine;
+  type: MachineType;
+}
+
 interface Usage {
   cpus: number;
   gpus: number;
@@ -44,6 +47,25 @@
 
 const EPSILON = 1e-9;
 
+export function fits(free: Amounts, need: Amounts): boolean {
+  return (
+    free.cpus + EPSILON >= need.cpus &&
+    free.gpus + EPSILON >= need.gpus &&
+    free.memoryGb + EPSILON >= need.memoryGb
+  );
+}
+
+/** How many tasks of a job are in each zone, all counted that are not proven gone. */
+export function zonesOf(job: Job): Map<string, number> {
+  const zones = new Map<string, number>();
+  for (const { machine } of job.active.values()) countZone(zones, machine);
+  return zones;
+}
+
+export function countZone(zones: Map<string, number>, { record }: Machine): void {
+  zones.set(record.zone, (zones.get(record.zone) ?? 0) + 1);
+}
+
 /** What each team uses, every placement counted that is not proven gone. */
 export function teamUsage(jobs: Iterable<Job>): Map<string, Usage> {
   const usage = new Map<string, Usage>();
@@ -144,9 +166,7 @@
   starts: Start[],
 ): void {
   const open = rooms.filter((room) => allows(job, room.machine));
-  const zones = new Map<string, number>();
-  for (const { machine } of job.active.values())
-    zones.set(machine.record.zone, (zones.get(machine.record.zone) ?? 0) + 1);
+  const zones = zonesOf(job);
   const taken = new Set<number>();
   while (underLimit(team, used, unseen, job.spec)) {
     const index = nextIndex(job, taken);
@@ -160,7 +180,7 @@
     room.memoryGb -= job.spec.memoryGb;
     used.cpus += job.spec.cpus;
     used.gpus += job.spec.gpus;
-    zones.set(room.machine.record.zone, (zones.get(room.machine.record.zone) ?? 0) + 1);
+    countZone(zones, room.machine);
   }
 }
 
@@ -179,11 +199,7 @@
   let bestScore = -Infinity;
   for (const room of rooms) {
     const { spec } = job;
-    const fits =
-      room.cpus + EPSILON >= spec.cpus &&
-      room.gpus + EPSILON >= spec.gpus &&
-      room.memoryGb + EPSILON >= spec.memoryGb;
-    if (!fits || !zoneAllowed(job, room.machine.record.zone, zones)) continue;
+    if (!fits(room, spec) || !zoneAllowed(job, room.machine.record.zone, zones)) continue;
     const score =
       (room.machine.record.spot ? 2 : 0) +
       (room.machine.images.has(spec.image) ? 1 : 0) -
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -8,21 +8,19 @@
 import { endsIn } from "./forecast.js";
 import {
   allows,
+  countZone,
+  fits,
   startable,
   teamUsage,
   underLimit,
   unseenUsage,
   zoneAllowed,
+  zonesOf,
+  type Amounts,
   type RoundInput,
 } from "./place.js";
 import { expectedRunMs, latestStart, orderByUrgency, rentMs, slackOfRunning } from "./urgency.js";
 
-interface Amounts {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-}
-
 interface Room extends Amounts {
   machine: Machine;
   /** What may still be stopped here. */
@@ -33,7 +31,6 @@
 const HARDLY_BEGUN = 0.1;
 
 const URGENT = PRIORITIES.indexOf("urgent");
-const EPSILON = 1e-9;
 const rank = (job: Job): number => PRIORITIES.indexOf(job.spec.priority);
 
 export interface PreemptInput extends RoundInput {
@@ -58,9 +55,7 @@
   for (const job of waiting.sort((a, b) => place.get(a)! - place.get(b)!)) {
     const team = input.teams.find((t) => t.name === job.spec.team);
     const open = rooms.filter((room) => allows(job, room.machine));
-    const zones = new Map<string, number>();
-    for (const { machine } of job.active.values())
-      zones.set(machine.record.zone, (zones.get(machine.record.zone) ?? 0) + 1);
+    const zones = zonesOf(job);
     for (let left = job.waiting; left > 0; left--) {
       const plan = makeRoom(job, team, open, zones, usage, unseen, place, input);
       if (plan === null) break;
@@ -73,8 +68,7 @@
       }
       add(plan.room, job.spec, -1);
       add(usage.get(job.spec.team)!, job.spec, 1);
-      const { zone } = plan.room.machine.record;
-      zones.set(zone, (zones.get(zone) ?? 0) + 1);
+      countZone(zones, plan.room.machine);
     }
   }
   return chosen;
@@ -172,14 +166,6 @@
   return spec.cpus * (spec.checkpointS > 0 ? spec.saveS : (input.now - victim.since) / 1000);
 }
 
-function fits(free: Amounts, need: Amounts): boolean {
-  return (
-    free.cpus + EPSILON >= need.cpus &&
-    free.gpus + EPSILON >= need.gpus &&
-    free.memoryGb + EPSILON >= need.memoryGb
-  );
-}
-
 function add(to: { cpus: number; gpus: number; memoryGb?: number }, what: Amounts, sign: 1 | -1): void {
   to.cpus += sign * what.cpus;
   to.gpus += sign * what.gpus;
