--- a/src/controller.ts
+++ b/src/controller.ts
@@ -10,7 +10,7 @@
 import { Parting } from "./jobs/parting.js";
 import { JobService } from "./jobs/service.js";
 import { Membership } from "./membership/membership.js";
-import type { PeerReply, PeerRequest, Summary } from "./peers/messages.js";
+import type { PeerReply, PeerRequest, ShareLoadNote, Summary } from "./peers/messages.js";
 import { Peers } from "./peers/links.js";
 import { Share } from "./placement/share.js";
 import { ShareKeeper, type ReportAnswer } from "./placement/share-keeper.js";
@@ -20,10 +20,11 @@
 import { Sizer } from "./sizing/sizer.js";
 import { StateClient } from "./state/client.js";
 import { changeFeed } from "./state/feed.js";
-import { LIVE, keys, prefixes } from "./state/keys.js";
+import { Freshness } from "./state/freshness.js";
+import { LIVE, ROOT, keys, prefixes } from "./state/keys.js";
 import { Replica } from "./state/replica.js";
 import { REPORT_TIMEOUT_S, type Change, type MachineType, type WorkerReport } from "./wire/index.js";
-import { readMachine } from "./workers/records.js";
+import { Fleet } from "./workers/fleet.js";
 
 export interface Running {
   port: number;
@@ -33,9 +34,14 @@
 
 const NOTHING: PeerReply = { accepted: { hosts: [] } };
 
+/** The part of the state service's requests that may go to following its changes. */
+const FEED_PART = 0.4;
+
 /** What the figures of the settings come to for this program; each is a ratio to one of them, with its reason. */
 export function deriveFigures(settings: Settings, operator: OperatorSettings) {
   const { leaseMs, reportMs, cancelMs } = settings.workers;
+  const { controllers } = settings;
+  const { rps } = settings.state;
   const holdMs = Math.round(leaseMs / 2);
   return {
     /** Half a lease: after an owner's silent end there is time to find another before its workers give up. */
@@ -50,13 +56,21 @@
     /** Peers answer at once or not in time for a user. */
     peerMs: Math.min(holdMs / 10, (REPORT_TIMEOUT_S * 1000) / 8),
     feedWaitMs: reportMs,
-    feedSpacingMs: reportMs / 20,
+    /** Watches of all nodes together take a part of the service's requests, but none comes more often than needed. */
+    feedSpacingMs: Math.max(reportMs / 20, (controllers / (FEED_PART * rps)) * 1000),
+    /** A user waits five seconds for an answer to a submission, and two for one to a question. */
+    submitPatienceMs: holdMs / 4,
+    lookPatienceMs: holdMs / 5,
     tickMs: reportMs / 8,
     /** A round of placing may take so much of the time between two reports of one worker. */
     roundMs: reportMs / 50,
+    preemptMs: reportMs / 2,
   };
 }
 
+const concernsMembership = (key: string): boolean =>
+  key === keys.leader || key.startsWith(prefixes.members) || key.startsWith(prefixes.shares);
+
 /** A share in this process's hands, and the version of its record that was last found to continue its term. */
 interface Kept {
   keeper: ShareKeeper;
@@ -67,6 +81,7 @@
   private readonly replica = new Replica();
   private readonly state: StateClient;
   private readonly membership: Membership;
+  private readonly fleet: Fleet;
   private readonly sizer: Sizer;
   private readonly peers: Peers;
   private readonly jobs: JobService;
@@ -82,6 +97,7 @@
     private readonly log: Logger,
   ) {
     const figures = (this.figures = deriveFigures(settings, operator));
+    this.fleet = new Fleet(log);
     this.parting = new Parting(settings.teams, settings.controllers);
     const sockets = Math.max(4, Math.floor(settings.sockets / 50));
     this.state = new StateClient(
@@ -121,6 +137,7 @@
       cloud,
       this.state,
       this.replica,
+      this.fleet,
       steadyClock,
       {
         leadership: () => this.membership.leadership(),
@@ -132,9 +149,11 @@
       settings,
       this.state,
       this.replica,
+      new Freshness(this.state, this.replica, figures.lookPatienceMs),
       () => this.typesByName,
       this.parting,
       (share, job) => this.countsOf(share, job),
+      figures.submitPatienceMs,
       log,
     );
     this.replica.onChange((changes) => this.follow(changes));
@@ -147,7 +166,7 @@
       spacingMs: figures.feedSpacingMs,
       retryMs: figures.feedSpacingMs * 4,
     };
-    const feed = changeFeed(this.state, LIVE, pace, steadyClock, this.log);
+    const feed = changeFeed(this.state, { whole: LIVE, followed: ROOT }, pace, steadyClock, this.log);
     pipeline(feed, this.replica, (err) => {
       if (err && this.ticker !== null) this.log.error({ err }, "the feed of records ended");
     });
@@ -195,6 +214,11 @@
   }
 
   private follow(changes: Change[] | null): void {
+    if (changes !== null) {
+      this.state.seen(changes.length);
+      this.jobs.follow(changes);
+    }
+    this.fleet.follow(this.replica, changes);
     if (changes === null || changes.some((c) => c.key.startsWith(prefixes.types)))
       this.typesByName = new Map(
         this.replica
@@ -202,7 +226,7 @@
           .map((entry) => [(entry.value as MachineType).name, entry.value as MachineType]),
       );
     for (const { keeper } of this.keepers.values()) keeper.tell({ kind: "records", changes });
-    if (changes === null || changes.some((c) => !c.key.startsWith(prefixes.jobs)))
+    if (changes === null || changes.some((c) => concernsMembership(c.key)))
       this.membership.tell({ kind: "records" });
   }
 
@@ -214,6 +238,7 @@
       let kept = this.keepers.get(n);
       if (kept && (!ours || !this.membership.continues(n, kept.token))) {
         this.keepers.delete(n);
+        kept.keeper.retire();
         kept = undefined;
         this.log.info({ share: n, owner: record?.node }, "share lost");
       }
@@ -236,7 +261,8 @@
       this.replica,
       this.log,
     );
-    const figures = { roundMs: this.figures.roundMs, spacingMs: this.operator.passSpacingMs };
+    const { roundMs, preemptMs } = this.figures;
+    const figures = { roundMs, preemptMs, spacingMs: this.operator.passSpacingMs };
     const hooks = {
       // The token counts only for the keeper whose term it belongs to.
       token: () => {
@@ -246,15 +272,26 @@
       raiseToken: () => void this.membership.tell({ kind: "raise", share: n }),
       summary: (summary: Summary) => this.sendSummary(summary),
     };
-    const keeper = new ShareKeeper(share, figures, this.state, this.replica, steadyClock, hooks, this.log);
+    const keeper = new ShareKeeper(
+      share,
+      figures,
+      this.state,
+      this.replica,
+      this.fleet,
+      steadyClock,
+      hooks,
+      this.log,
+    );
     const kept: Kept = { keeper, token };
     return kept;
   }
 
-  /** To all, not only to the leader: whoever accepts a job chooses its share by the loads. */
+  /** The whole to the leader, who sizes by it; to the others how full the share is, by which they part new jobs. */
   private sendSummary(summary: Summary): void {
+    const { share, load } = summary;
+    const leader = this.membership.leader();
     for (const node of [this.settings.node, ...this.settings.peers.map((p) => p.node)])
-      this.askNode(node, { summary }).catch(() => undefined);
+      this.askNode(node, node === leader ? { summary } : { load: { share, load } }).catch(() => undefined);
   }
 
   private askNode(node: string | null, request: PeerRequest): Promise<PeerReply> {
@@ -264,11 +301,14 @@
 
   private async answerPeer(request: PeerRequest): Promise<PeerReply> {
     if ("summary" in request) {
-      const { share, load } = request.summary;
-      this.parting.note(share, { capacity: load.cpus, backlog: load.waiting + load.used - load.cpus });
+      this.noteLoad(request.summary);
       await this.sizer.ask<boolean>((reply) => ({ kind: "summary", summary: request.summary, reply }));
       return NOTHING;
     }
+    if ("load" in request) {
+      this.noteLoad(request.load);
+      return NOTHING;
+    }
     if ("handOver" in request) {
       this.membership.tell({ kind: "hand_over", ...request.handOver });
       return NOTHING;
@@ -290,6 +330,10 @@
     return { accepted: { hosts } };
   }
 
+  private noteLoad({ share, load }: ShareLoadNote): void {
+    this.parting.note(share, { capacity: load.cpus, backlog: load.waiting + load.used - load.cpus });
+  }
+
   private async countsOf(share: number, job: string): Promise<{ done: number; running: number } | null> {
     const reply = await this.askNode(this.membership.owner(share), { lookup: { share, job } }).catch(
       () => null,
@@ -298,13 +342,12 @@
   }
 
   private async routeReport(report: WorkerReport): Promise<Routed> {
-    const record = readMachine(this.replica.get(keys.machine(report.host))?.value);
-    if (record === null) {
+    const record = this.fleet.get(report.host);
+    if (record === undefined) {
       // Only the leader gives machines to shares; the worker comes again until it has.
       const leader = this.membership.leader();
       if (leader !== this.settings.node) return { kind: "redirect", owner: leader };
-      const { host, type, zone, spot } = report;
-      this.sizer.tell({ kind: "unknown_machine", host, type, zone, spot });
+      this.sizer.tell({ kind: "unknown_machine", report });
       return { kind: "redirect", owner: null };
     }
     const kept = this.keepers.get(record.share)?.keeper;
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -37,6 +37,10 @@
 
 const doneSchema = z.object({ bits: z.string() });
 
+const progressSchema = z.object({ jobs: z.record(z.string(), z.string()) });
+
 export const readJob = (value: unknown): JobRecord | null => jobRecordSchema.safeParse(value).data ?? null;
 export const readEnded = (value: unknown): EndedRecord | null => endedSchema.safeParse(value).data ?? null;
+export const readProgress = (value: unknown): Record<string, string> | null =>
+  progressSchema.safeParse(value).data?.jobs ?? null;
 export const readDone = (value: unknown): string | null => doneSchema.safeParse(value).data?.bits ?? null;
--- a/src/jobs/service.ts
+++ b/src/jobs/service.ts
@@ -5,14 +5,15 @@
 import { LRUCache } from "lru-cache";
 import type { Settings } from "../config/settings.js";
 import { StateFailure, type StateClient } from "../state/client.js";
+import type { Freshness } from "../state/freshness.js";
 import { keys, prefixes } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 import type { Logger } from "../runtime/log.js";
-import type { JobSpec, JobStage, JobStatus, MachineType } from "../wire/index.js";
+import type { Change, JobSpec, JobStage, JobStatus, MachineType } from "../wire/index.js";
 import { admit } from "./admission.js";
-import { Bits } from "./bits.js";
 import type { Parting } from "./parting.js";
-import { readDone, readEnded, readJob, type EndedRecord, type JobRecord } from "./records.js";
+import { durablyDone } from "./progress.js";
+import { readEnded, readJob, type EndedRecord, type JobRecord } from "./records.js";
 
 export type SubmitResult =
   | { kind: "accepted"; stage: JobStage; fresh: boolean }
@@ -35,12 +36,24 @@
     private readonly settings: Settings,
     private readonly state: StateClient,
     private readonly view: ReplicaView,
+    private readonly freshness: Freshness,
     private readonly types: () => Map<string, MachineType>,
     private readonly parting: Parting,
     private readonly countsOf: CountsOf,
+    /** How long a submission may wait for its turn to be written. */
+    private readonly patienceMs: number,
     private readonly log: Logger,
   ) {}
 
+  /** Takes in from the feed which jobs are over, so that few questions about them need a read. */
+  follow(changes: Change[]): void {
+    for (const change of changes) {
+      if (!change.key.startsWith(prefixes.ended)) continue;
+      const ended = readEnded(change.value);
+      if (ended !== null) this.ended.set(change.key.slice(prefixes.ended.length), ended);
+    }
+  }
+
   async submit(spec: JobSpec): Promise<SubmitResult> {
     const types = [...this.types().values()];
     return this.guarded(async (): Promise<SubmitResult> => {
@@ -58,6 +71,8 @@
           { key: keys.ended(spec.id), version: 0 },
         ],
         [{ put: keys.job(spec.id), value: record }],
+        "user",
+        this.patienceMs,
       );
       if (commit.ok) return { kind: "accepted", stage: "pending", fresh: true };
       const known = await this.look(spec.id);
@@ -70,14 +85,15 @@
     const final = this.ended.get(id);
     if (final !== undefined) return { kind: "found", status: endedStatus(id, final) };
     return this.guarded(async (): Promise<LookResult> => {
-      // The record is read each time: another node may have told a later state than our copy shows.
-      const entry = await this.state.read(keys.job(id));
+      // Another node may have told a later state than our copy shows: it catches up first.
+      await this.freshness.now();
+      const entry = this.view.get(keys.job(id));
       // A job goes from live to ended in one step, so that looking in this order cannot miss it.
-      if (entry === null) return this.lookEnded(id);
+      if (entry === undefined) return this.lookEnded(id);
       const job = readJob(entry.value);
       if (job === null) return { kind: "unavailable" };
       const counts = (await this.countsOf(job.share, id)) ?? {
-        done: this.durablyDone(id, job.spec.tasks),
+        done: durablyDone(this.view, job.share, id, job.spec.tasks),
         running: 0,
       };
       const done = Math.min(counts.done, job.spec.tasks);
@@ -93,12 +109,15 @@
       for (let i = 0; i < CANCEL_TRIES; i++) {
         const entry = await this.state.read(keys.job(id));
         if (entry === null) return this.lookEnded(id);
-        const tasks = readJob(entry.value)?.spec.tasks ?? 0;
-        const ended: EndedRecord = { stage: "cancelled", done: this.durablyDone(id, tasks) };
+        const job = readJob(entry.value);
+        const done = job === null ? 0 : durablyDone(this.view, job.share, id, job.spec.tasks);
+        const ended: EndedRecord = { stage: "cancelled", done };
         // Whoever changes the job's record first wins: a completion on its way then fails, or this does.
         const commit = await this.state.commit(
           [{ key: keys.job(id), version: entry.version }],
           [{ put: keys.ended(id), value: ended }, { remove: keys.job(id) }],
+          "user",
+          this.patienceMs,
         );
         if (!commit.ok) continue;
         this.log.info({ job: id }, "job cancelled");
@@ -110,6 +129,8 @@
   }
 
   private async lookEnded(id: string): Promise<LookResult> {
+    const known = this.ended.get(id);
+    if (known !== undefined) return { kind: "found", status: endedStatus(id, known) };
     const entry = await this.state.read(keys.ended(id));
     if (entry === null) return { kind: "unknown" };
     const ended = readEnded(entry.value);
@@ -118,15 +139,6 @@
     return { kind: "found", status: endedStatus(id, ended) };
   }
 
-  private durablyDone(id: string, tasks: number): number {
-    const bits = new Bits(tasks);
-    for (const entry of this.view.under(`${prefixes.done}${id}/`)) {
-      const text = readDone(entry.value);
-      if (text !== null) bits.mergeChunk(Number(entry.key.slice(entry.key.lastIndexOf("/") + 1)), text);
-    }
-    return bits.count;
-  }
-
   private async guarded<R>(work: () => Promise<R>): Promise<R | { kind: "unavailable" }> {
     try {
       return await work();
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -45,6 +45,9 @@
   askHandOver(owner: string, share: number, to: string): void;
 }
 
+/** How many renewals may be under way at once. */
+const MAX_RENEWALS = 3;
+
 export class Membership extends Actor<MembershipMessage> {
   cluster: Cluster;
   private lease: number | null = null;
@@ -52,7 +55,8 @@
   /** The revision at which this process last entered the records: older views say nothing about its claims. */
   private enteredAt = Infinity;
   private entering = false;
-  private renewing = false;
+  /** Renewals without an answer so far: a slow service must not keep the next one from being sent. */
+  private renewing = 0;
   private lastRenewal = -Infinity;
   private ledSince: number | null = null;
   private lastMove = -Infinity;
@@ -171,7 +175,8 @@
       return;
     }
     const now = this.clock();
-    if (!this.renewing && now - this.lastRenewal >= this.figures.holdMs / 5) void this.renew(this.lease);
+    if (this.renewing < MAX_RENEWALS && now - this.lastRenewal >= this.figures.holdMs / 5)
+      void this.renew(this.lease);
   }
 
   private validFrom(sentAt: number): number {
@@ -189,6 +194,7 @@
       const commit = await this.state.commit(
         [{ key, version: known?.version ?? 0 }],
         [{ put: key, value: this.me, lease }],
+        "ownership",
       );
       if (!commit.ok) return;
       this.lease = lease;
@@ -204,20 +210,22 @@
   }
 
   private async renew(lease: number): Promise<void> {
-    this.renewing = true;
+    this.renewing++;
     const sentAt = this.clock();
+    this.lastRenewal = sentAt;
     try {
       if (await this.state.renew(lease)) {
-        this.lastRenewal = sentAt;
         this.heldUntil = Math.max(this.heldUntil, this.validFrom(sentAt));
-      } else {
+      } else if (lease === this.lease) {
         this.log.info("hold ended");
         this.tell({ kind: "hold_ended" });
       }
     } catch (err) {
       this.log.debug({ err: (err as Error).message }, "renewal failed");
+      // After an outage every hold has its full time again: the sooner it is proven, the sooner work goes on.
+      this.lastRenewal = Math.min(this.lastRenewal, sentAt - (this.figures.holdMs * 3) / 20);
     } finally {
-      this.renewing = false;
+      this.renewing--;
     }
   }
 
@@ -254,12 +262,13 @@
       case "lead": {
         if (this.lease === null) return;
         const guards = [{ key: keys.leader, version: action.over?.version ?? 0 }];
-        await this.state.commit(guards, [{ put: keys.leader, value: this.me, lease: this.lease }]);
+        const write = { put: keys.leader, value: this.me, lease: this.lease };
+        await this.state.commit(guards, [write], "ownership");
         return;
       }
       case "reclaim": {
         const guards = [{ key: keys.share(action.share), version: action.from.version }];
-        await this.state.commit(guards, [{ put: keys.share(action.share), value: this.me }]);
+        await this.state.commit(guards, [{ put: keys.share(action.share), value: this.me }], "ownership");
         return;
       }
       case "assign":
@@ -283,7 +292,7 @@
     // The old owner's hold must be over *when this is applied*; its own count of the hold ends before that.
     if (from !== null) guards.push({ key: keys.member(from.node), version: 0 });
     const value: Process = { node: to.node, incarnation: to.incarnation };
-    const commit = await this.state.commit(guards, [{ put: keys.share(share), value }]);
+    const commit = await this.state.commit(guards, [{ put: keys.share(share), value }], "ownership");
     if (commit.ok)
       this.log.info({ share, from: from?.node, to: to.node, token: commit.revision }, "share assigned");
   }
@@ -297,6 +306,7 @@
       const commit = await this.state.commit(
         [{ key: keys.share(share), version: record.version }],
         [{ put: keys.share(share), value: this.me }],
+        "ownership",
       );
       if (!commit.ok) return;
       this.raises.set(share, { from: record.version, to: commit.revision });
@@ -322,7 +332,7 @@
     ];
     const value: Process = { node: heir.node, incarnation: heir.incarnation };
     try {
-      const commit = await this.state.commit(guards, [{ put: key, value }]);
+      const commit = await this.state.commit(guards, [{ put: key, value }], "ownership");
       if (commit.ok) this.log.info({ share, to, token: commit.revision }, "share handed over");
       if (!commit.ok) this.released.delete(share);
     } catch {
@@ -339,8 +349,8 @@
         const now = await this.state.read(key);
         const owner = now?.value as Process | undefined;
         if (now === null || !sameProcess(owner, this.me)) return;
-        settled = (await this.state.commit([{ key, version: now.version }], [{ put: key, value: this.me }]))
-          .ok;
+        const guards = [{ key, version: now.version }];
+        settled = (await this.state.commit(guards, [{ put: key, value: this.me }], "ownership")).ok;
         if (settled) this.released.delete(share);
       } catch {
         await sleep(this.figures.marginMs);
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -17,6 +17,7 @@
     Lookup lookup = 7;
     Accepted accepted = 8;
     Counts counts = 9;
+    LoadNote load = 10;
   }
 }
 
@@ -34,6 +35,9 @@
 // Machines that are up, those of them without a task, and processors: all, used, waited for.
 message Load { uint32 up = 1; uint32 empty = 2; double cpus = 3; double used = 4; double waiting = 5; }
 
+// An owner tells those who do not lead how full its share is: whoever accepts a job chooses its share by that.
+message LoadNote { uint32 share = 1; Load load = 2; }
+
 // Tasks that could run now but for lack of machines.
 message Demand {
   double cpus = 1;
@@ -97,17 +101,21 @@
   waiting: number;
 }
 
-export interface Summary {
+export interface ShareLoadNote {
   share: number;
+  load: ShareLoad;
+}
+
+export interface Summary extends ShareLoadNote {
   token: number;
   settled: boolean;
-  load: ShareLoad;
   demand: Demand[];
   machines: MachineSummary[];
 }
 
 export type PeerRequest =
   | { summary: Summary }
+  | { load: ShareLoadNote }
   | { drain: { share: number; hosts: string[] } }
   | { give: { share: number; to: number; hosts: string[] } }
   | { handOver: { share: number; to: string } }
--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -48,15 +48,16 @@
     const patience = patienceMs(job, input);
     const run = expectedRunMs(job, input);
     let count = input.waiting.get(job)!;
-    const open = rooms.filter((room) => allows(job, room.machine));
-    for (; count > 0; count--) {
-      let best: { room: Room; at: number } | null = null;
-      for (const room of open) {
-        const at = firstFit(room.pieces, job);
-        if (at !== null && (best === null || at < best.at)) best = { room, at };
-      }
-      if (best === null || best.at > patience) break;
+    const open: { room: Room; at: number }[] = [];
+    const offer = (room: Room): void => {
+      const at = firstFit(room.pieces, job, patience);
+      if (at !== null) insertByTime(open, { room, at });
+    };
+    for (const room of rooms) if (allows(job, room.machine)) offer(room);
+    // A task changes the room that it takes and no other, so that only this one is looked at again.
+    for (let best = open.pop(); count > 0 && best !== undefined; count--, best = open.pop()) {
       take(best.room.pieces, job, best.at, best.at + run);
+      offer(best.room);
     }
     if (count > 0) rest.set(job, count);
   }
@@ -87,10 +88,22 @@
   return [{ machine, pieces: pieces.sort((a, b) => a.at - b.at) }];
 }
 
-/** The earliest time at which the pieces free until then hold one task. */
-function firstFit(pieces: Piece[], job: Job): number | null {
+/** Keeps the earliest last. */
+function insertByTime(list: { room: Room; at: number }[], entry: { room: Room; at: number }): void {
+  let low = 0;
+  for (let high = list.length; low < high;) {
+    const middle = (low + high) >> 1;
+    if (list[middle]!.at > entry.at) low = middle + 1;
+    else high = middle;
+  }
+  list.splice(low, 0, entry);
+}
+
+/** The earliest time, if not past `until`, at which the pieces free by then hold one task. */
+function firstFit(pieces: Piece[], job: Job, until: number): number | null {
   const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
   for (const piece of pieces) {
+    if (piece.at > until) return null;
     sum.cpus += piece.cpus;
     sum.gpus += piece.gpus;
     sum.memoryGb += piece.memoryGb;
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -3,7 +3,7 @@
 import type { SteadyClock } from "../runtime/clock.js";
 import type { MachineType } from "../wire/index.js";
 import type { Job, Machine } from "../workers/model.js";
-import { orderByUrgency, type Plan } from "./urgency.js";
+import { isOverdue, orderByUrgency, type Plan } from "./urgency.js";
 
 export interface Start {
   job: Job;
@@ -21,12 +21,17 @@
   termToken: number;
   /** The job at which the last round ran out of time. */
   resumeAt: string | null;
+  /** Machines held back for a job that has waited too long, and the job that each waits for. */
+  kept: ReadonlyMap<Machine, Job>;
 }
 
 export interface Round {
   starts: Start[];
   /** Where the next round goes on; null when everything was looked at. */
   resumeAt: string | null;
+  kept: Map<Machine, Job>;
+  /** How many machines were looked at for how many jobs: what the round cost, whatever the processor. */
+  steps: number;
 }
 
 export interface Amounts {
@@ -106,37 +111,113 @@
   return !job.spec.spread || (zones.get(zone) ?? 0) < Math.ceil(job.spec.tasks / 2);
 }
 
-export function placeRound(input: RoundInput, clock: SteadyClock, deadline: number): Round {
+/** What every round of a moment shares, whole ones and those for one machine's room alike. */
+interface Offer {
+  input: RoundInput;
+  usage: Map<string, Usage>;
+  unseen: Usage;
+  rooms: Room[];
+  starts: Start[];
+  kept: Map<Machine, Job>;
+  steps: number;
+}
+
+/** The waiting jobs that may start, in the order in which they are served. */
+export function queueOf(input: RoundInput): Job[] {
+  const waiting: Job[] = [];
+  for (const job of input.jobs) if (job.waiting > 0 && startable(job, input)) waiting.push(job);
+  return orderByUrgency(waiting, input);
+}
+
+function makeOffer(input: RoundInput, machines: Iterable<Machine>): Offer {
+  return {
+    input,
+    usage: teamUsage(input.jobs),
+    unseen: unseenUsage(input.machines, input.types),
+    rooms: openRooms(input, machines),
+    starts: [],
+    kept: new Map(),
+    steps: 0,
+  };
+}
+
+/** A whole round: all that waits against all that is open. */
+export function placeRound(input: RoundInput, queue: Job[], clock: SteadyClock, deadline: number): Round {
+  const offer = makeOffer(input, input.machines);
+  const blocked = new Set<string>();
+  const found = input.resumeAt === null ? -1 : queue.findIndex((job) => job.spec.id === input.resumeAt);
+  const first = Math.max(0, found);
+  // What the jobs before the resumed one hold back stays held.
+  if (first > 0) for (const [machine, job] of input.kept) offer.kept.set(machine, job);
+  for (let i = first; i < queue.length; i++) {
+    const job = queue[i]!;
+    if (i > first && clock() > deadline)
+      return { starts: offer.starts, resumeAt: job.spec.id, kept: offer.kept, steps: offer.steps };
+    serve(job, offer, blocked);
+    if (isOverdue(job, input)) holdBack(job, offer);
+  }
+  return { starts: offer.starts, resumeAt: null, kept: offer.kept, steps: offer.steps };
+}
+
+/**
+ * The room of one machine that has just spoken, offered to the queue as it was last ordered: a report costs what it
+ * changes, and not a look at the whole share.
+ */
+export function placeOn(machine: Machine, queue: Job[], input: RoundInput): Round {
+  const offer = makeOffer(input, [machine]);
+  for (const [held, job] of input.kept) offer.kept.set(held, job);
+  const blocked = new Set<string>();
+  if (offer.rooms.length > 0)
+    for (const job of queue) if (job.waiting > 0 && startable(job, input)) serve(job, offer, blocked);
+  return { starts: offer.starts, resumeAt: null, kept: offer.kept, steps: offer.steps };
+}
+
+function openRooms(input: RoundInput, machines: Iterable<Machine>): Room[] {
   const rooms: Room[] = [];
-  for (const machine of input.machines) {
+  for (const machine of machines) {
     const type = input.types.get(machine.record.type);
     if (!type || !machine.usable || machine.notBefore > input.now) continue;
     const used = machine.used();
-    rooms.push({
+    const room: Room = {
       machine,
       type,
       cpus: type.cpus - used.cpus,
       gpus: type.gpus - used.gpus,
       memoryGb: type.memoryGb - used.memoryGb,
-    });
+    };
+    // Every task takes processors or memory: a machine without either is full for all.
+    if (room.cpus > EPSILON || room.memoryGb > EPSILON) rooms.push(room);
   }
-  const starts: Start[] = [];
-  const all = [...input.jobs];
-  const usage = teamUsage(all);
-  const unseen = unseenUsage(input.machines, input.types);
-  const queue = orderByUrgency(
-    all.filter((job) => job.waiting > 0 && startable(job, input)),
-    input,
-  );
-  const first = input.resumeAt === null ? -1 : queue.findIndex((job) => job.spec.id === input.resumeAt);
-  for (let i = Math.max(0, first); i < queue.length; i++) {
-    const job = queue[i]!;
-    if (i > Math.max(0, first) && clock() > deadline) return { starts, resumeAt: job.spec.id };
-    const team = input.teams.find((t) => t.name === job.spec.team);
-    const used = usage.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
-    placeJob(job, rooms, team, used, unseen, starts);
+  return rooms;
+}
+
+/** Places what fits of one job. An overdue one at its team's limit lets none of the team's later jobs pass. */
+function serve(job: Job, offer: Offer, blocked: Set<string>): void {
+  const { team: name } = job.spec;
+  if (blocked.has(name)) return;
+  const team = offer.input.teams.find((t) => t.name === name);
+  const used = offer.usage.get(name) ?? { cpus: 0, gpus: 0 };
+  placeJob(job, offer, team, used);
+  if (isOverdue(job, offer.input) && !underLimit(team, used, offer.unseen, job.spec)) blocked.add(name);
+}
+
+/**
+ * Guards against starving a job of large tasks: small ones would take every piece of room before enough of it comes
+ * together. One machine that could hold a task of the overdue job takes nothing else until it does.
+ */
+function holdBack(job: Job, offer: Offer): void {
+  const { input, kept } = offer;
+  if (offer.starts.some((s) => s.job === job)) return;
+  let best: Machine | null = null;
+  let most = -Infinity;
+  for (const machine of input.machines) {
+    const type = input.types.get(machine.record.type);
+    if (!type || !machine.usable || kept.has(machine) || !allows(job, machine)) continue;
+    if (!fits(type, job.spec)) continue;
+    const free = input.kept.get(machine) === job ? Infinity : type.cpus - machine.used().cpus;
+    if (free > most) [best, most] = [machine, free];
   }
-  return { starts, resumeAt: null };
+  if (best !== null) kept.set(best, job);
 }
 
 /**
@@ -157,30 +238,36 @@
   );
 }
 
-function placeJob(
-  job: Job,
-  rooms: Room[],
-  team: Team | undefined,
-  used: Usage,
-  unseen: Usage,
-  starts: Start[],
-): void {
-  const open = rooms.filter((room) => allows(job, room.machine));
-  const zones = zonesOf(job);
+function placeJob(job: Job, offer: Offer, team: Team | undefined, used: Usage): void {
+  if (!underLimit(team, used, offer.unseen, job.spec)) return;
+  const open: { room: Room; score: number }[] = [];
+  for (const room of offer.rooms) {
+    offer.steps++;
+    const keeper = offer.kept.get(room.machine);
+    if ((keeper !== undefined && keeper !== job) || !fits(room, job.spec) || !allows(job, room.machine))
+      continue;
+    open.push({ room, score: scoreOf(job, room) });
+  }
+  if (open.length === 0) return;
+  // A machine that takes a task becomes fuller and so still better: each is filled before the next is looked at.
+  open.sort((a, b) => b.score - a.score);
+  const { oneZone, spread } = job.spec;
+  const zones = oneZone || spread ? zonesOf(job) : null;
   const taken = new Set<number>();
-  while (underLimit(team, used, unseen, job.spec)) {
-    const index = nextIndex(job, taken);
-    if (index === null) return;
-    const room = bestRoom(job, open, zones);
-    if (room === null) return;
-    taken.add(index);
-    starts.push({ job, index, machine: room.machine });
-    room.cpus -= job.spec.cpus;
-    room.gpus -= job.spec.gpus;
-    room.memoryGb -= job.spec.memoryGb;
-    used.cpus += job.spec.cpus;
-    used.gpus += job.spec.gpus;
-    countZone(zones, room.machine);
+  for (const { room } of open) {
+    while (fits(room, job.spec) && underLimit(team, used, offer.unseen, job.spec)) {
+      if (zones !== null && !zoneAllowed(job, room.machine.record.zone, zones)) break;
+      const index = nextIndex(job, taken);
+      if (index === null) return;
+      taken.add(index);
+      offer.starts.push({ job, index, machine: room.machine });
+      room.cpus -= job.spec.cpus;
+      room.gpus -= job.spec.gpus;
+      room.memoryGb -= job.spec.memoryGb;
+      used.cpus += job.spec.cpus;
+      used.gpus += job.spec.gpus;
+      if (zones !== null) countZone(zones, room.machine);
+    }
   }
 }
 
@@ -194,17 +281,10 @@
  * The cheapest kind first, then one that has the image, then the fullest: dear and empty machines are left to run
  * dry and be given back.
  */
-function bestRoom(job: Job, rooms: Room[], zones: Map<string, number>): Room | null {
-  let best: Room | null = null;
-  let bestScore = -Infinity;
-  for (const room of rooms) {
-    const { spec } = job;
-    if (!fits(room, spec) || !zoneAllowed(job, room.machine.record.zone, zones)) continue;
-    const score =
-      (room.machine.record.spot ? 2 : 0) +
-      (room.machine.images.has(spec.image) ? 1 : 0) -
-      room.cpus / (1 + (room.type.cpus || 1));
-    if (score > bestScore) [best, bestScore] = [room, score];
-  }
-  return best;
+function scoreOf(job: Job, room: Room): number {
+  return (
+    (room.machine.record.spot ? 2 : 0) +
+    (room.machine.images.has(job.spec.image) ? 1 : 0) -
+    room.cpus / (1 + (room.type.cpus || 1))
+  );
 }
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -3,6 +3,7 @@
  * can be had cheaply (work that is saved, or hardly begun), and only where nothing ends soon anyway. Pure.
  */
 import type { Team } from "../config/settings.js";
+import type { SteadyClock } from "../runtime/clock.js";
 import { PRIORITIES } from "../wire/index.js";
 import type { Job, Machine, Placement } from "../workers/model.js";
 import { endsIn } from "./forecast.js";
@@ -37,7 +38,12 @@
   reportMs: number;
 }
 
-export function choosePreemptions(input: PreemptInput): Placement[] {
+/** What is not decided by the deadline is left to the next round, which finds it again. */
+export function choosePreemptions(
+  input: PreemptInput,
+  clock: SteadyClock = () => 0,
+  deadline = Infinity,
+): Placement[] {
   const jobs = [...input.jobs];
   const waiting = jobs.filter((job) => job.waiting > 0 && startable(job, input) && cannotWait(job, input));
   if (waiting.length === 0) return [];
@@ -57,6 +63,7 @@
     const open = rooms.filter((room) => allows(job, room.machine));
     const zones = zonesOf(job);
     for (let left = job.waiting; left > 0; left--) {
+      if (clock() > deadline) return chosen;
       const plan = makeRoom(job, team, open, zones, usage, unseen, place, input);
       if (plan === null) break;
       for (const victim of plan.victims) {
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -3,12 +3,14 @@
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
 import type { Summary } from "../peers/messages.js";
-import type { StateClient } from "../state/client.js";
+import { StateFailure, type StateClient, type WriteKind } from "../state/client.js";
+import { randomUUID } from "node:crypto";
 import { keys } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 import { jittered, sleep } from "../runtime/wait.js";
-import { readMachine } from "../workers/records.js";
-import { commandsToWire, type Change, type Write, type WorkerReport } from "../wire/index.js";
+import type { Fleet, FleetChange } from "../workers/fleet.js";
+import { readGroup } from "../workers/records.js";
+import { commandsToWire, type Change, type WorkerReport } from "../wire/index.js";
 import type { Completion, Share } from "./share.js";
 
 export type ReportAnswer =
@@ -42,20 +44,28 @@
   roundMs: number;
   /** The least time between two summaries, and between two writes of completions. */
   spacingMs: number;
+  /** The least time between two looks for tasks to stop. */
+  preemptMs: number;
 }
 
 export class ShareKeeper extends Actor<KeeperMessage> {
   private writing = false;
   private noting = false;
   private lastWrite = -Infinity;
+  private lastProgress = -Infinity;
+  private lastNote = -Infinity;
+  private lastPreempt = -Infinity;
   private lastSummary = -Infinity;
   private token: number | null = null;
+  /** Set when another keeper, or another node, has taken the share's place. */
+  private retired = false;
 
   constructor(
     private readonly share: Share,
     private readonly figures: KeeperFigures,
     private readonly state: StateClient,
     private readonly view: ReplicaView,
+    private readonly fleet: Fleet,
     private readonly clock: SteadyClock,
     private readonly hooks: KeeperHooks,
     log: Logger,
@@ -63,6 +73,11 @@
     super(log);
   }
 
+  /** The share is no longer this keeper's: nothing it began is tried any further. */
+  retire(): void {
+    this.retired = true;
+  }
+
   protected override receive(message: KeeperMessage): void {
     switch (message.kind) {
       case "records":
@@ -85,10 +100,10 @@
         message.reply(this.share.counts(message.job));
         return;
       case "drain":
-        void this.leave(message.hosts, true, (record) => ({ ...record, drain: true }), message.reply);
+        void this.leave(message.hosts, true, (hosts) => this.toDrain(hosts), message.reply);
         return;
       case "give":
-        void this.leave(message.hosts, false, (record) => ({ ...record, share: message.to }), message.reply);
+        void this.leave(message.hosts, false, (hosts) => this.toGive(hosts, message.to), message.reply);
         return;
     }
   }
@@ -114,7 +129,8 @@
     const commands = this.share.report(report, now);
     if (commands === null) return { kind: "refused" };
     this.noteUp();
-    if (this.place(token)) {
+    const placed = this.share.hasFresh ? this.place(token) : this.share.placeOn(report.host, token, now) > 0;
+    if (placed) {
       const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
       for (const start of this.share.startsFor(report.host))
         if (!known.has(start.attempt)) commands.push(start);
@@ -132,7 +148,7 @@
     this.noteUp();
     this.share.drainNoticed();
     this.place(token);
-    this.share.preempt(now);
+    this.preempt(now);
     this.flush();
     if (now - this.lastSummary >= this.figures.spacingMs) {
       this.lastSummary = now;
@@ -142,6 +158,13 @@
     }
   }
 
+  /** Looked at again once its last victims could have been seen stopped. */
+  private preempt(now: number): void {
+    if (now - this.lastPreempt < this.figures.preemptMs) return;
+    this.lastPreempt = now;
+    this.share.preempt(now, this.clock, this.clock() + this.figures.roundMs);
+  }
+
   private place(token: number): boolean {
     const now = this.clock();
     return this.share.place(token, now, this.clock, now + this.figures.roundMs) > 0;
@@ -150,42 +173,46 @@
   /** Notes durably which machines have come up, before anything is placed on them: see the census. */
   private noteUp(): void {
     const token = this.currentToken();
-    if (this.noting || token === null) return;
-    const entries = this.share
-      .newlyUp()
-      .slice(0, this.state.txnOps)
-      .flatMap((host) => this.view.get(keys.machine(host)) ?? []);
-    if (entries.length === 0) return;
+    const now = this.clock();
+    if (this.noting || token === null || now - this.lastNote < this.figures.spacingMs / 2) return;
+    const up = this.share.newlyUp();
+    if (up.length === 0) return;
+    const { guards, writes } = this.fleet.change(up, "up", this.state.txnOps);
+    if (writes.length === 0) return;
     this.noting = true;
-    const guards = [
-      { key: keys.share(this.share.n), version: token },
-      ...entries.map((e) => ({ key: e.key, version: e.version })),
-    ];
-    const writes = entries.map((e) => ({ put: e.key, value: { ...(e.value as object), up: true } }));
+    this.lastNote = now;
     this.state
-      .commit(guards, writes)
+      .commit([{ key: keys.share(this.share.n), version: token }, ...guards], writes, "note")
       .catch((err: Error) => this.log.debug({ err: err.message }, "machines not noted yet"))
       .finally(() => this.tell({ kind: "noted" }));
   }
 
-  /** Writes completed work: one transaction at a time, each guarded by the share's record. */
+  /**
+   * Writes completed work: one transaction at a time, each guarded by the share's record. Jobs that are over come
+   * first, since users wait for them; progress is written now and then, and workers keep results until it is.
+   */
   private flush(): void {
     const token = this.currentToken();
     const now = this.clock();
     if (this.writing || token === null || now - this.lastWrite < this.figures.spacingMs / 4) return;
-    const completions = this.share.completions(this.state.txnOps);
+    const over = this.share.finished(this.state.txnOps);
+    const kind = over.length > 0 ? "result" : "note";
+    if (over.length === 0 && now - this.lastProgress < this.figures.spacingMs) return;
+    const completions = over.length > 0 ? over : this.share.progressed(this.state.txnOps);
     if (completions.length === 0) return;
     this.writing = true;
     this.lastWrite = now;
-    void this.commit(token, completions);
+    if (over.length === 0) this.lastProgress = now;
+    void this.commit(token, completions, kind);
   }
 
-  private async commit(token: number, completions: Completion[]): Promise<void> {
+  private async commit(token: number, completions: Completion[], kind: WriteKind): Promise<void> {
     const own = keys.share(this.share.n);
     try {
       const result = await this.state.commit(
         [{ key: own, version: token }, ...completions.flatMap((c) => c.guards)],
         completions.flatMap((c) => c.writes),
+        kind,
       );
       if (result.ok) for (const completion of completions) completion.durable();
       // Guards against a completion racing with a cancellation: whoever changed the job's record first has won.
@@ -203,27 +230,30 @@
     if ((await this.state.read(keys.job(completion.job))) === null) completion.lost();
   }
 
+  private toDrain(hosts: string[]): FleetChange {
+    return this.fleet.change(hosts, "leaving", this.state.txnOps);
+  }
+
+  private toGive(hosts: string[], to: number): FleetChange {
+    return this.fleet.pass(hosts, to, randomUUID, this.state.txnOps);
+  }
+
   /** Marks machines durably before anyone acts on their leaving: a later owner must not place on them either. */
   private async leave(
     hosts: string[],
     anyState: boolean,
-    change: (record: object) => object,
+    change: (hosts: string[]) => FleetChange,
     reply: (hosts: string[]) => void,
   ): Promise<void> {
     const token = this.currentToken();
     if (token === null) return reply([]);
-    const leaving = this.share.beginLeaving(hosts.slice(0, this.state.txnOps), anyState);
+    const marked = this.share.beginLeaving(hosts, anyState);
+    const { guards, writes, hosts: leaving } = change(marked);
+    this.share.stayAfterAll(marked.filter((host) => !leaving.includes(host)));
     if (leaving.length === 0) return reply([]);
-    const guards = [{ key: keys.share(this.share.n), version: token }];
-    const writes: Write[] = [];
-    for (const host of leaving) {
-      const entry = this.view.get(keys.machine(host));
-      if (entry === undefined) continue;
-      guards.push({ key: entry.key, version: entry.version });
-      writes.push({ put: entry.key, value: change(entry.value as object) });
-    }
+    const own = { key: keys.share(this.share.n), version: token };
     try {
-      const result = await this.state.commit(guards, writes);
+      const result = await this.state.commit([own, ...guards], writes, "note");
       if (result.ok) {
         this.log.info({ share: this.share.n, hosts: leaving }, "machines leave");
         return reply(leaving);
@@ -231,35 +261,40 @@
       this.share.stayAfterAll(leaving);
     } catch (err) {
       this.log.debug({ err: (err as Error).message, hosts: leaving }, "leaving not confirmed");
-      for (const host of leaving) void this.settleLeaving(host);
+      if (!(err instanceof StateFailure) || err.maybe)
+        for (const { key } of guards) void this.settleLeaving(key, leaving);
+      else this.share.stayAfterAll(leaving);
     }
     reply([]);
   }
 
   /**
    * Guards against `ran_twice`: the write may yet be applied, and a machine must not be filled again before that
-   * is ruled out. A newer version of its record, written by us, rules it out; nothing is placed until then.
+   * is ruled out. A newer version of its group's record, written by us, rules it out; nothing is placed until then.
    */
-  private async settleLeaving(host: string): Promise<void> {
-    const key = keys.machine(host);
+  private async settleLeaving(key: string, leaving: string[]): Promise<void> {
     for (;;) {
       await sleep(jittered(this.figures.spacingMs));
       const token = this.currentToken();
       try {
         const now = await this.state.read(key);
-        const record = readMachine(now?.value);
-        // Gone, named or passed on: the records say so, and that is followed.
-        if (now === null || record === null || record.drain || record.share !== this.share.n) return;
-        if (token === null) continue;
+        const group = readGroup(now?.value);
+        // Gone or passed on: the records say so, and that is followed.
+        if (now === null || group === null || group.share !== this.share.n) return;
+        // The term is over: whoever owns the share now knows nothing of what was meant here.
+        if (token === null) {
+          if (this.retired) return;
+          continue;
+        }
         const guards = [
           { key: keys.share(this.share.n), version: token },
           { key, version: now.version },
         ];
-        const result = await this.state.commit(guards, [{ put: key, value: record }]);
-        if (result.ok) return this.share.stayAfterAll([host]);
-        if (result.failed.includes(keys.share(this.share.n)) && this.currentToken() === null) return;
+        const result = await this.state.commit(guards, [{ put: key, value: group }], "note");
+        // What was named after all is marked in the record, and stays unused by that.
+        if (result.ok) return this.share.stayAfterAll(leaving.filter((host) => host in group.machines));
       } catch (err) {
-        this.log.debug({ err: (err as Error).message, host }, "leaving not settled yet");
+        this.log.debug({ err: (err as Error).message, key }, "leaving not settled yet");
       }
     }
   }
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -4,8 +4,10 @@
  */
 import type { Settings } from "../config/settings.js";
 import { CHUNK_TASKS } from "../jobs/bits.js";
-import { readDone, readJob } from "../jobs/records.js";
+import { ProgressPages } from "../jobs/progress.js";
+import { readDone, readJob, readProgress } from "../jobs/records.js";
 import type { Demand, MachineSummary, ShareLoad, Summary } from "../peers/messages.js";
+import { LRUCache } from "lru-cache";
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
 import { keys, prefixes } from "../state/keys.js";
@@ -19,13 +21,23 @@
   type WorkerReport,
   type Write,
 } from "../wire/index.js";
-import { Job, Machine, type Placement } from "../workers/model.js";
-import { readMachine } from "../workers/records.js";
+import { attach, Job, Machine, type Placement } from "../workers/model.js";
+import { machineOf, readGroup, type MachineRecord } from "../workers/records.js";
 import { applyReport, isNewer, releaseAll } from "../workers/reports.js";
 import { uncovered } from "./forecast.js";
 import { orderByUrgency } from "./urgency.js";
 import { choosePreemptions } from "./preempt.js";
-import { placeRound, startable, teamUsage, underLimit, unseenUsage } from "./place.js";
+import {
+  placeOn,
+  placeRound,
+  queueOf,
+  startable,
+  teamUsage,
+  underLimit,
+  unseenUsage,
+  type Round,
+  type RoundInput,
+} from "./place.js";
 
 /** Attempts are a token and a count within its term, so that they never repeat. */
 const ATTEMPTS_PER_TOKEN = 2 ** 20;
@@ -44,9 +56,13 @@
   durable(): void;
   /** To be called if the job's record turned out to be gone: it was cancelled first. */
   lost(): void;
+  /** The job whose record the guards name; empty where they name none. */
   job: string;
 }
 
+/** How many machines that have left are remembered, so that late copies of their reports are known for what they are. */
+const REMEMBERED_MACHINES = 1000;
+
 export class Share {
   readonly jobs = new Map<string, Job>();
   readonly machines = new Map<string, Machine>();
@@ -57,6 +73,19 @@
   private readonly ratios = new Map<string, number>();
   private attempts = 0;
   private resumeAt: string | null = null;
+  private fresh: Job[] = [];
+  /** The waiting jobs as last ordered, and the machines held back for overdue ones. */
+  private queue: Job[] = [];
+  private kept = new Map<Machine, Job>();
+  /** Machines looked at in all rounds: what placing has cost so far, for tests. */
+  placingSteps = 0;
+  /** Which machines of which group's record are here. */
+  private readonly groups = new Map<string, Set<string>>();
+  private readonly progress: ProgressPages;
+  /** How new the last report was of machines that have left. */
+  private readonly departed = new LRUCache<string, { session: number; seq: number }>({
+    max: REMEMBERED_MACHINES,
+  });
   private readonly leaseMs: number;
 
   constructor(
@@ -71,6 +100,7 @@
   ) {
     const { leaseMs, reportMs } = settings.workers;
     this.leaseMs = leaseMs * (1 + 2 * CLOCK_DRIFT) + reportMs / 4;
+    this.progress = new ProgressPages(settings.state.valueBytes);
     this.sync(view, null, startedAt);
     // A machine that never spoke to an owner has never been told to start anything.
     for (const machine of this.machines.values()) machine.inCensus = machine.record.up;
@@ -86,16 +116,18 @@
   sync(view: ReplicaView, changes: Change[] | null, now: number): void {
     if (changes === null) {
       for (const id of this.jobs.keys()) if (!view.get(keys.job(id))) this.dropJob(id);
-      for (const host of this.machines.keys()) if (!view.get(keys.machine(host))) this.dropMachine(host);
       changes = [
         ...view.under(prefixes.jobs),
         ...view.under(prefixes.done),
         ...view.under(prefixes.machines),
       ];
+      for (const change of changes) if (change.key.startsWith(prefixes.machines)) this.syncGroup(change, now);
+      for (const key of [...this.groups.keys()])
+        if (view.get(key) === undefined) this.syncGroup({ key, value: undefined, version: 0 }, now);
     }
     for (const change of changes) {
       if (change.key.startsWith(prefixes.jobs)) this.syncJob(change);
-      else if (change.key.startsWith(prefixes.machines)) this.syncMachine(change, now);
+      else if (change.key.startsWith(prefixes.machines)) this.syncGroup(change, now);
       else if (change.key.startsWith(prefixes.done)) this.syncDone(change, view);
     }
   }
@@ -107,32 +139,59 @@
     const record = readJob(change.value);
     if (record === null) return void this.log.error({ key: change.key }, "unreadable job record");
     if (record.share !== this.n) return;
-    this.jobs.set(id, Job.fromRecord(record, change.version));
+    const job = Job.fromRecord(record, change.version);
+    this.jobs.set(id, job);
+    this.fresh.push(job);
   }
 
   private syncDone(change: Change, view: ReplicaView): void {
-    const [id, chunk] = change.key.slice(prefixes.done.length).split("/");
-    const job = this.jobs.get(id ?? "");
+    const [of = "", part = ""] = change.key.slice(prefixes.done.length).split("/");
+    if (of === String(this.n)) return this.syncProgress(Number(part), readProgress(change.value));
+    const job = this.jobs.get(of);
     const bits = readDone(change.value);
     if (bits === null) return;
-    if (!job) {
-      if (this.n === 0 && !view.get(keys.job(id ?? ""))) this.leftovers.add(change.key);
-      return;
+    if (job) job.mergeDone(Number(part), bits);
+    else if (this.n === 0 && !view.get(keys.job(of))) this.leftovers.add(change.key);
+  }
+
+  /** What this owner wrote itself comes back as well, and changes nothing. */
+  private syncProgress(page: number, jobs: Record<string, string> | null): void {
+    if (jobs === null) return;
+    for (const [id, bits] of Object.entries(jobs)) {
+      const job = this.jobs.get(id);
+      if (job === undefined) continue;
+      if (job.durable.count === 0) this.progress.load(page, { [id]: bits });
+      job.mergeDone(0, bits);
     }
-    job.done.mergeChunk(Number(chunk), bits);
-    job.durable.mergeChunk(Number(chunk), bits);
   }
 
-  private syncMachine(change: Change, now: number): void {
-    const host = change.key.slice(prefixes.machines.length);
-    const record = readMachine(change.value);
-    // A record that cannot be read proves nothing: what is on the machine still counts.
-    if (record === null && change.value !== undefined)
-      return void this.log.error({ key: change.key }, "unreadable machine record");
-    if (record === null || record.share !== this.n) return this.dropMachine(host);
-    const machine = this.machines.get(host);
-    if (machine) machine.record = record;
-    else this.machines.set(host, new Machine(host, record, now));
+  private syncGroup(change: Change, now: number): void {
+    const { key } = change;
+    const group = change.value === undefined ? null : readGroup(change.value);
+    // A record that cannot be read proves nothing: what is on its machines still counts.
+    if (group === null && change.value !== undefined)
+      return void this.log.error({ key }, "unreadable machine record");
+    const here = group?.share === this.n ? Object.keys(group.machines) : [];
+    const former = this.groups.get(key);
+    const present = new Set(here);
+    if (present.size > 0) this.groups.set(key, present);
+    else this.groups.delete(key);
+    for (const host of here) {
+      const record = machineOf(key, group!, host);
+      const machine = this.machines.get(host);
+      if (machine) machine.record = record;
+      else this.machines.set(host, this.newMachine(host, record, now));
+    }
+    for (const host of former ?? [])
+      if (!present.has(host) && this.machines.get(host)?.record.group === key) this.dropMachine(host);
+  }
+
+  private newMachine(host: string, record: MachineRecord, now: number): Machine {
+    const machine = new Machine(host, record, now);
+    // Guards against late copies from an earlier stay in this share: they are no newer than what was seen then.
+    const known = this.departed.get(host);
+    if (known !== undefined) [machine.session, machine.seq] = [known.session, known.seq];
+    return machine;
   }
 
   /** The record is gone: over or cancelled. Tasks still on machines are stopped and count until proven gone. */
@@ -141,7 +200,8 @@
     if (job === undefined) return;
     job.closing = true;
     this.dirty.delete(job);
-    if (job.durable.count > 0)
+    this.progress.drop(id);
+    if (job.durable.count > 0 && !this.progress.holds(job.spec.tasks))
       for (let c = 0; c * CHUNK_TASKS < job.spec.tasks; c++) this.leftovers.add(keys.done(id, c));
     if (job.active.size === 0) this.jobs.delete(id);
   }
@@ -152,6 +212,9 @@
     if (machine === undefined) return;
     releaseAll(machine);
     this.machines.delete(host);
+    this.kept.delete(machine);
+    const { session, seq } = machine;
+    this.departed.set(host, { session, seq });
     this.sweepJobs();
   }
 
@@ -233,10 +296,32 @@
     this.sweepJobs();
   }
 
-  /** One round of placing; starts go out with the machines' next answers. */
+  /** A whole round of placing; starts go out with the machines' next answers. */
   place(token: number, now: number, clock: SteadyClock, deadline: number): number {
-    const round = placeRound(this.roundInput(now), clock, deadline);
+    const input = this.roundInput(now);
+    this.queue = queueOf(input);
+    this.fresh = [];
+    const round = placeRound(input, this.queue, clock, deadline);
     this.resumeAt = round.resumeAt;
+    return this.take(round, token, now);
+  }
+
+  /** Offers the room of a machine that has just spoken to what waits. */
+  placeOn(host: string, token: number, now: number): number {
+    const machine = this.machines.get(host);
+    if (machine === undefined || !machine.usable) return 0;
+    // Jobs accepted since the last whole round are served from the next one on, in their order.
+    return this.take(placeOn(machine, this.queue, this.roundInput(now)), token, now);
+  }
+
+  /** Whether jobs have come since the last whole round. */
+  get hasFresh(): boolean {
+    return this.fresh.length > 0;
+  }
+
+  private take(round: Round, token: number, now: number): number {
+    this.kept = round.kept;
+    this.placingSteps += round.steps;
     for (const { job, index, machine } of round.starts) {
       const attempt = token * ATTEMPTS_PER_TOKEN + ++this.attempts;
       const placement: Placement = {
@@ -248,9 +333,9 @@
         since: now,
         stop: null,
         resumed: job.stopped.has(index),
+        unseen: 0,
       };
-      job.active.set(index, placement);
-      machine.placements.add(placement);
+      attach(placement);
       machine.emptySince = null;
       machine.emptyReports = 0;
     }
@@ -268,9 +353,9 @@
   }
 
   /** Stops less urgent work where that makes room for more urgent work in time. */
-  preempt(now: number): void {
+  preempt(now: number, clock: SteadyClock, deadline: number): void {
     const input = { ...this.roundInput(now), reportMs: this.settings.workers.reportMs };
-    const victims = choosePreemptions(input);
+    const victims = choosePreemptions(input, clock, deadline);
     for (const victim of victims)
       victim.stop = { why: "preempt", graceS: victim.job.spec.checkpointS > 0 ? victim.job.spec.saveS : 0 };
     if (victims.length > 0) this.log.debug({ share: this.n, stopped: victims.length }, "preempting");
@@ -290,9 +375,9 @@
     }
   }
 
-  private roundInput(now: number) {
+  private roundInput(now: number): RoundInput {
     return {
-      jobs: this.jobs.values(),
+      jobs: [...this.jobs.values()],
       machines: [...this.machines.values()],
       types: this.types(),
       teams: this.settings.teams,
@@ -303,6 +388,7 @@
       settled: this.settled,
       termToken: this.termToken,
       resumeAt: this.resumeAt,
+      kept: this.kept,
     };
   }
 
@@ -315,19 +401,50 @@
     this.attempts = 0;
   }
 
-  /** The next completed work to be written, a job at a time, within so many operations. */
-  completions(room: number): Completion[] {
+  /** Jobs whose last task has completed, to be written within so many operations. */
+  finished(room: number): Completion[] {
     const out: Completion[] = [];
-    for (const [job, indexes] of this.dirty) {
-      const completion =
-        job.done.count === job.spec.tasks ? this.finish(job) : this.progress(job, indexes, room);
+    for (const job of this.dirty.keys()) {
+      if (job.done.count !== job.spec.tasks) continue;
+      const completion = this.finish(job);
       if (completion.writes.length > room) break;
       room -= completion.writes.length;
       out.push(completion);
-      if (room < 1) break;
     }
-    const stale = [...this.leftovers].slice(0, room);
-    if (out.length > 0 && stale.length > 0)
+    return out;
+  }
+
+  /** Completed tasks of jobs that go on, to be written within so many operations. */
+  progressed(room: number): Completion[] {
+    const out: Completion[] = [];
+    const pages = new Map<number, { job: Job; indexes: Set<number>; written: number[] }[]>();
+    for (const [job, indexes] of this.dirty) {
+      if (job.done.count === job.spec.tasks) continue;
+      if (!this.progress.holds(job.spec.tasks)) {
+        if (room < 1) continue;
+        const completion = this.chunks(job, indexes, room);
+        room -= completion.writes.length;
+        out.push(completion);
+        continue;
+      }
+      const page = this.progress.set(job.spec.id, job.done.encodeChunk(0));
+      const part = { job, indexes, written: [...indexes] };
+      const parts = pages.get(page);
+      if (parts) parts.push(part);
+      else pages.set(page, [part]);
+    }
+    for (const [page, parts] of pages) {
+      if (room-- < 1) break;
+      out.push({
+        job: "",
+        guards: [],
+        writes: [{ put: keys.progress(this.n, page), value: this.progress.value(page) }],
+        durable: () => parts.forEach(({ job, indexes, written }) => this.nowDurable(job, indexes, written)),
+        lost: () => undefined,
+      });
+    }
+    const stale = [...this.leftovers].slice(0, Math.max(0, room));
+    if (stale.length > 0)
       out.push({
         job: "",
         guards: [],
@@ -338,6 +455,14 @@
     return out;
   }
 
+  private nowDurable(job: Job, indexes: Set<number>, written: number[]): void {
+    for (const i of written) {
+      job.durable.add(i);
+      indexes.delete(i);
+    }
+    if (indexes.size === 0 && this.dirty.get(job) === indexes) this.dirty.delete(job);
+  }
+
   private finish(job: Job): Completion {
     const { id, tasks } = job.spec;
     return {
@@ -347,13 +472,14 @@
       durable: () => {
         for (let i = 0; i < tasks; i++) job.durable.add(i);
         this.dirty.delete(job);
+        this.progress.drop(id);
         this.log.info({ job: id }, "job done");
       },
       lost: () => this.dropJob(id),
     };
   }
 
-  private progress(job: Job, indexes: Set<number>, room: number): Completion {
+  private chunks(job: Job, indexes: Set<number>, room: number): Completion {
     const { id } = job.spec;
     const chunks = [...new Set([...indexes].map((i) => Math.floor(i / CHUNK_TASKS)))].slice(
       0,
@@ -364,13 +490,7 @@
       job: id,
       guards: [{ key: keys.job(id), version: job.version }],
       writes: chunks.map((c) => ({ put: keys.done(id, c), value: { bits: job.done.encodeChunk(c) } })),
-      durable: () => {
-        for (const i of written) {
-          job.durable.add(i);
-          indexes.delete(i);
-        }
-        if (indexes.size === 0) this.dirty.delete(job);
-      },
+      durable: () => this.nowDurable(job, indexes, written),
       lost: () => this.dropJob(id),
     };
   }
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -1,6 +1,6 @@
 /** How long a job may wait: the latest time at which its tasks should start for its aims to be met. Pure. */
 import type { Objective, Team } from "../config/settings.js";
-import { PRIORITIES, type MachineType } from "../wire/index.js";
+import { BEGIN_WITHIN_S, PRIORITIES, type MachineType } from "../wire/index.js";
 import type { Job } from "../workers/model.js";
 
 export interface Plan {
@@ -110,7 +110,24 @@
   return behind;
 }
 
-/** Urgent and critical work first, then what can be in time, by how long it can wait; what cannot comes last. */
+/** A job none of whose tasks has begun by this part of the time in which all must begin goes before all others. */
+const OVERDUE_TO_BEGIN = 0.5;
+/** Once begun, a job that still waits after so many times that time goes before all others as well. */
+const OVERDUE_TO_GO_ON = 1.5;
+
+/**
+ * Guards against starving: of all the reasons for which a job may be passed by (rank, lateness, its size), none
+ * counts past a part of the time in which users expect every job to begin.
+ */
+export function isOverdue(job: Job, plan: Pick<Plan, "wallNow">): boolean {
+  const age = plan.wallNow - job.acceptedAt;
+  return age > BEGIN_WITHIN_S * 1000 * (job.begun ? OVERDUE_TO_GO_ON : OVERDUE_TO_BEGIN);
+}
+
+/**
+ * What is overdue first, the oldest before the others; then urgent and critical work, then what can be in time, by
+ * how long it can wait; what cannot comes last.
+ */
 export function orderByUrgency(jobs: Job[], plan: Plan): Job[] {
   // Normal and lower work shares one rank, below urgent.
   const shared = PRIORITIES.indexOf("normal");
@@ -118,13 +135,18 @@
   const behind = leftBehind(jobs, windows, plan);
   const keyed = jobs.map((job) => ({
     job,
+    overdueSince: isOverdue(job, plan) ? job.acceptedAt : Infinity,
     rank: Math.max(shared, PRIORITIES.indexOf(job.spec.priority)),
     behind: behind.has(job) ? 1 : 0,
     start: windows.get(job)!.start,
   }));
   keyed.sort(
     (a, b) =>
-      b.rank - a.rank || a.behind - b.behind || a.start - b.start || (a.job.spec.id < b.job.spec.id ? -1 : 1),
+      (a.overdueSince === b.overdueSince ? 0 : a.overdueSince - b.overdueSince) ||
+      b.rank - a.rank ||
+      a.behind - b.behind ||
+      a.start - b.start ||
+      (a.job.spec.id < b.job.spec.id ? -1 : 1),
   );
   return keyed.map((k) => k.job);
 }
--- a/src/runtime/budget.ts
+++ b/src/runtime/budget.ts
@@ -1,4 +1,4 @@
-/** A token bucket with debt: a call that costs more than the bucket holds goes out, and later ones wait for it. */
+/** A token bucket for calls that are left out, and not kept waiting, when there is no room for them. */
 import type { SteadyClock } from "./clock.js";
 
 export class Budget {
@@ -14,17 +14,6 @@
     this.updatedAt = clock();
   }
 
-  /** Takes `cost` and returns how many milliseconds the caller must wait before it goes ahead. */
-  take(cost: number): number {
-    this.refill();
-    const wait =
-      this.level >= Math.min(cost, this.burst)
-        ? 0
-        : (-this.level + Math.min(cost, this.burst)) / this.perSecond;
-    this.level -= cost;
-    return Math.max(0, wait * 1000);
-  }
-
   /** Takes `cost` only if that needs no waiting. */
   tryTake(cost: number): boolean {
     this.refill();
--- a/src/sizing/size.ts
+++ b/src/sizing/size.ts
@@ -1,10 +1,10 @@
 /** How much to rent, what to give back. Pure: summaries and records in, at most one action of each kind out. */
 import type { OperatorSettings } from "../config/operator.js";
-import type { Demand, MachineSummary, Summary } from "../peers/messages.js";
+import type { Demand, MachineCondition, MachineSummary, Summary } from "../peers/messages.js";
 import { MAX_RENTAL, PRIORITIES, type MachineType, type Priority } from "../wire/index.js";
 import type { MachineRecord } from "../workers/records.js";
 
-export interface Known extends MachineRecord {
+export interface Known extends Omit<MachineRecord, "group"> {
   host: string;
 }
 
@@ -108,8 +108,9 @@
   view.summaries.forEach((summary, share) => {
     // Before an owner has heard its machines, its queue says nothing about what is short.
     if (summary === undefined || !summary.settled) return;
+    const said = new Map(summary.machines.map((m) => [m.host, m.state]));
     const coming = view.machines
-      .filter((m) => m.share === share && !m.drain && isComing(m, summary, types, view.wallNow))
+      .filter((m) => m.share === share && !m.drain && isComing(m, said, types, view.wallNow))
       .map((m) => ({ machine: m, left: 1 }));
     const groups = [...summary.demand].sort(
       (a, b) => PRIORITIES.indexOf(b.priority as Priority) - PRIORITIES.indexOf(a.priority as Priority),
@@ -151,12 +152,11 @@
 /** Rented, not heard yet, and not overdue. Guards against a boot that never ends covering a queue for ever. */
 function isComing(
   machine: Known,
-  summary: Summary,
+  said: Map<string, MachineCondition>,
   types: Map<string, MachineType>,
   wallNow: number,
 ): boolean {
-  const said = summary.machines.find((m) => m.host === machine.host);
-  if (said !== undefined && said.state !== "booting") return false;
+  if ((said.get(machine.host) ?? "booting") !== "booting") return false;
   return wallNow - machine.since < OVERDUE_BOOTS * bootMs(machine, types);
 }
 
@@ -211,12 +211,13 @@
 /** Machines to be named: empty over the idle wait, or lost for good. */
 function chooseDrain(view: SizingView): Leave | null {
   const types = new Map(view.types.map((t) => [t.name, t]));
+  const known = new Map(view.machines.map((m) => [m.host, m]));
   for (const [share, summary] of view.summaries.entries()) {
     if (!summary?.settled) continue;
     const lone = cutOff(summary.machines);
     const hosts = summary.machines
       .filter((said) => {
-        const machine = view.machines.find((m) => m.host === said.host);
+        const machine = known.get(said.host);
         if (machine === undefined || machine.drain) return false;
         if (said.state === "idle") {
           const wait = view.caps.idleWaitMs ?? IDLE_WAIT_BOOTS * bootMs(machine, types);
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -3,6 +3,7 @@
  * most one call to the cloud. An order is recorded before it is sent, and its machines before they count.
  */
 import { randomUUID } from "node:crypto";
+import { LRUCache } from "lru-cache";
 import { z } from "zod";
 import { CloudFailure, type CloudClient } from "../cloud/client.js";
 import type { OperatorSettings } from "../config/operator.js";
@@ -14,8 +15,16 @@
 import { StateFailure, type StateClient } from "../state/client.js";
 import { keys, prefixes } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
-import { MAX_RETURN, type Guard, type ListedMachine, type MachineType, type Write } from "../wire/index.js";
-import { readMachine, type MachineRecord } from "../workers/records.js";
+import {
+  MAX_RETURN,
+  type Guard,
+  type ListedMachine,
+  type MachineType,
+  type WorkerReport,
+  type Write,
+} from "../wire/index.js";
+import type { Fleet } from "../workers/fleet.js";
+import { groupSize, type MachineGroup } from "../workers/records.js";
 import {
   decideSizing,
   marketKey,
@@ -38,7 +47,7 @@
 
 export type SizerMessage =
   | { kind: "summary"; summary: Summary; reply: (accepted: boolean) => void }
-  | { kind: "unknown_machine"; host: string; type: string; zone: string; spot: boolean }
+  | { kind: "unknown_machine"; report: WorkerReport }
   | { kind: "tick" }
   | { kind: "pass_over" };
 
@@ -49,6 +58,9 @@
   askOwner(share: number, request: PeerRequest): Promise<PeerReply>;
 }
 
+/** How many unknown machines are remembered until their second report. */
+const REMEMBERED = 2000;
+
 interface Refusal {
   until: number;
   pauseMs: number;
@@ -57,7 +69,11 @@
 export class Sizer extends Actor<SizerMessage> {
   private readonly summaries: { summary: Summary; at: number }[] = [];
   private readonly refusals = new Map<string, Refusal>();
-  private readonly strangers = new Map<string, Omit<MachineRecord, "drain" | "since" | "share" | "up">>();
+  private readonly strangers = new Map<string, Market>();
+  /** Reports of machines that no record names: one may be a late copy, from a machine long gone. */
+  private readonly heardOf = new LRUCache<string, { session: number; seq: number; at: number }>({
+    max: REMEMBERED,
+  });
   /** Hosts given back lately: the lists go on showing them for a while. */
   private readonly returned = new Map<string, number>();
   /** Hosts that a list of this term has shown, and when a list first missed them again. */
@@ -75,6 +91,7 @@
     private readonly cloud: CloudClient,
     private readonly state: StateClient,
     private readonly view: ReplicaView,
+    private readonly fleet: Fleet,
     private readonly clock: SteadyClock,
     private readonly hooks: SizerHooks,
     log: Logger,
@@ -88,11 +105,9 @@
         this.summaries[message.summary.share] = { summary: message.summary, at: this.clock() };
         message.reply(this.hooks.leadership() !== null);
         return;
-      case "unknown_machine": {
-        const { host, type, zone, spot } = message;
-        if (this.strangers.size < MAX_RETURN) this.strangers.set(host, { type, zone, spot });
+      case "unknown_machine":
+        this.hear(message.report);
         return;
-      }
       case "tick":
         this.pass();
         return;
@@ -102,6 +117,20 @@
     }
   }
 
+  /**
+   * Guards against adopting a machine that has been returned: copies of its reports may come late, and a machine is
+   * believed to be there only once a second report, newer and some time after the first, has come in.
+   */
+  private hear(report: WorkerReport): void {
+    const { host, session, seq, type, zone, spot } = report;
+    const now = this.clock();
+    const first = this.heardOf.get(host);
+    if (first === undefined) return void this.heardOf.set(host, { session, seq, at: now });
+    const newer = session > first.session || (session === first.session && seq > first.seq);
+    if (!newer || now - first.at < this.settings.workers.reportMs / 2) return;
+    if (!this.returned.has(host)) this.strangers.set(host, { type, zone, spot });
+  }
+
   private pass(): void {
     const now = this.clock();
     const leads = this.hooks.leadership();
@@ -155,12 +184,7 @@
   }
 
   private machines(): Known[] {
-    const known: Known[] = [];
-    for (const entry of this.view.under(prefixes.machines)) {
-      const record = readMachine(entry.value);
-      if (record !== null) known.push({ ...record, host: entry.key.slice(prefixes.machines.length) });
-    }
-    return known;
+    return [...this.fleet.all()].map(([host, record]) => ({ ...record, host }));
   }
 
   private recordedTypes(): MachineType[] {
@@ -186,7 +210,7 @@
       // Spot prices wander; only what lasts is worth a write.
       const lasting = (t: MachineType): string => JSON.stringify({ ...t, spotPrice: 0 });
       if (known !== undefined && lasting(type) === lasting(known.value as MachineType)) continue;
-      await this.state.commit([guard], [{ put: keys.type(type.name), value: type }]);
+      await this.state.commit([guard], [{ put: keys.type(type.name), value: type }], "ownership");
     }
     return true;
   }
@@ -195,10 +219,10 @@
     const record: OrderRecord = { ...order, since: Date.now() };
     // A name must never come twice, from any process.
     const name = `fp-${randomUUID()}`;
-    const commit = await this.state.commit([guard], [{ put: keys.order(name), value: record }]);
+    const commit = await this.state.commit([guard], [{ put: keys.order(name), value: record }], "ownership");
     if (!commit.ok) return;
     this.log.info({ order: name, ...order }, "ordering");
-    await this.send(guard, name, record);
+    await this.send(guard, name, commit.revision, record);
   }
 
   /** Orders whose answer never came are sent again under their name, which rents nothing twice. */
@@ -207,12 +231,12 @@
     if (entry === undefined || !this.cloud.mayCall()) return entry !== undefined;
     const record = orderSchema.safeParse(entry.value);
     const name = entry.key.slice(prefixes.orders.length);
-    if (record.success) await this.send(guard, name, record.data);
-    else await this.state.commit([guard], [{ remove: entry.key }]);
+    if (record.success) await this.send(guard, name, entry.version, record.data);
+    else await this.state.commit([guard], [{ remove: entry.key }], "ownership");
     return true;
   }
 
-  private async send(guard: Guard, name: string, order: OrderRecord): Promise<void> {
+  private async send(guard: Guard, name: string, version: number, order: OrderRecord): Promise<void> {
     const rental = await this.cloud.rent({ ...order, name });
     const hosts = rental.kind === "rented" ? rental.hosts : [];
     this.log.info(
@@ -221,19 +245,23 @@
     );
     this.noteRefusal(order, hosts.length < order.count);
     const { share, type, zone, spot } = order;
-    const value: MachineRecord = { share, type, zone, spot, since: Date.now(), drain: false, up: false };
-    const fresh = hosts.filter((host) => !this.view.get(keys.machine(host)));
-    const writes: Write[] = [
-      ...fresh.map((h) => ({ put: keys.machine(h), value })),
-      { remove: keys.order(name) },
-    ];
-    for (let i = 0; i < writes.length; i += this.state.txnOps) {
-      const part = writes.slice(i, i + this.state.txnOps);
-      // The order is still there and each machine new: a late copy of this write changes nothing.
-      const guards = part.flatMap((w) => ("put" in w ? [{ key: w.put, version: 0 }] : []));
-      const commit = await this.state.commit([guard, ...guards], part);
-      if (!commit.ok) return;
+    const fresh = hosts.filter((host) => this.fleet.get(host) === undefined);
+    const groups = this.groupsOf(fresh, { share, type, zone, spot });
+    // The order is still there, as it was sent: a late copy of this write brings no machine back.
+    const guards = [guard, { key: keys.order(name), version }];
+    await this.state.commit(guards, [...groups, { remove: keys.order(name) }], "ownership");
+  }
+
+  /** Records for machines that come together, in as many groups as the limit of a value asks for. */
+  private groupsOf(hosts: string[], of: Omit<MachineGroup, "since" | "machines">): Write[] {
+    const size = groupSize(this.settings.state.valueBytes);
+    const writes: Write[] = [];
+    for (let i = 0; i < hosts.length; i += size) {
+      const machines = Object.fromEntries(hosts.slice(i, i + size).map((host) => [host, "booting" as const]));
+      const value: MachineGroup = { ...of, since: Date.now(), machines };
+      writes.push({ put: keys.machines(randomUUID()), value });
     }
+    return writes;
   }
 
   private noteRefusal(market: Market, refused: boolean): void {
@@ -261,42 +289,35 @@
     await this.cloud.giveBack(hosts);
     for (const host of hosts) this.returned.set(host, this.clock());
     this.log.info({ hosts }, "machines returned");
-    for (let i = 0; i < hosts.length; i += this.state.txnOps) {
-      const part = hosts.slice(i, i + this.state.txnOps);
-      await this.state.commit(
-        [guard],
-        part.map((host) => ({ remove: keys.machine(host) })),
-      );
-    }
+    const { guards, writes } = this.fleet.change(hosts, null, this.state.txnOps);
+    // What is over the limit, or changed meanwhile, is returned once more, which harms nobody, and removed then.
+    await this.state.commit([guard, ...guards], writes, "ownership");
     return true;
   }
 
   /** Machines that report or are listed although no record names them: a late order, or there from the start. */
   private async adoptStrangers(guard: Guard): Promise<void> {
-    const machines = this.machines();
-    const known = new Set(machines.map((m) => m.host));
-    const load = Array.from(
-      { length: this.settings.controllers },
-      (_, n) => machines.filter((m) => m.share === n).length,
-    );
-    const writes: Write[] = [];
-    const guards: Guard[] = [guard];
-    for (const [host, machine] of this.strangers) {
-      if (known.has(host) || this.returned.has(host)) {
-        this.strangers.delete(host);
-        continue;
-      }
-      if (writes.length >= this.state.txnOps) break;
+    const load = Array.from({ length: this.settings.controllers }, () => 0);
+    for (const [, machine] of this.fleet.all()) load[machine.share] = (load[machine.share] ?? 0) + 1;
+    const alike = new Map<string, { of: Omit<MachineGroup, "since" | "machines">; hosts: string[] }>();
+    for (const [host, market] of this.strangers) {
+      if (this.fleet.get(host) !== undefined || this.returned.has(host)) continue;
       const share = load.indexOf(Math.min(...load));
       load[share]!++;
-      const value: MachineRecord = { ...machine, share, since: Date.now(), drain: false, up: false };
-      writes.push({ put: keys.machine(host), value });
-      guards.push({ key: keys.machine(host), version: 0 });
-      this.strangers.delete(host);
+      const key = `${share}/${marketKey(market)}`;
+      const group = alike.get(key);
+      if (group) group.hosts.push(host);
+      else alike.set(key, { of: { ...market, share }, hosts: [host] });
     }
+    this.strangers.clear();
+    const writes = [...alike.values()].flatMap(({ of, hosts }) => this.groupsOf(hosts, of));
     if (writes.length === 0) return;
-    this.log.info({ hosts: guards.slice(1).map((g) => g.key) }, "adopting machines");
-    await this.state.commit(guards, writes);
+    this.log.info({ hosts: [...alike.values()].flatMap((g) => g.hosts) }, "adopting machines");
+    // Machines in no record cannot be guarded by their own; this key lets a late copy of the write fail.
+    const adoption = { key: keys.adoption, version: this.view.get(keys.adoption)?.version ?? 0 };
+    const mark = { put: keys.adoption, value: { machines: writes.length } };
+    const room = this.state.txnOps - 1;
+    await this.state.commit([guard, adoption], [mark, ...writes.slice(0, room)], "ownership");
   }
 
   private async readList(now: number): Promise<void> {
@@ -323,10 +344,9 @@
     // A new leader does not know what its predecessor gave back; lists show such machines for a while.
     if (this.ledSince === null || now - this.ledSince < 6 * lag) return;
     for (const m of all) {
-      if (this.view.get(keys.machine(m.host)) || this.returned.has(m.host) || m.ageS * 1000 < 2 * lag)
+      if (this.fleet.get(m.host) !== undefined || this.returned.has(m.host) || m.ageS * 1000 < 2 * lag)
         continue;
-      if (this.strangers.size < MAX_RETURN)
-        this.strangers.set(m.host, { type: m.type, zone: m.zone, spot: m.spot });
+      this.strangers.set(m.host, { type: m.type, zone: m.zone, spot: m.spot });
     }
   }
 
@@ -334,18 +354,18 @@
   private noteMissing(all: ListedMachine[], now: number): void {
     const live = new Set(all.filter((m) => m.state !== "failed").map((m) => m.host));
     for (const host of live) this.listed.set(host, { missingSince: null });
-    const gone: Leave[] = [];
+    const gone = new Map<number, string[]>();
     for (const [host, seen] of this.listed) {
       if (live.has(host)) continue;
-      const record = readMachine(this.view.get(keys.machine(host))?.value);
-      if (record === null) {
+      const record = this.fleet.get(host);
+      if (record === undefined) {
         this.listed.delete(host);
         continue;
       }
       seen.missingSince ??= now;
       if (now - seen.missingSince >= 2 * this.settings.cloud.listLagMs && !record.drain)
-        gone.push({ share: record.share, hosts: [host] });
+        gone.set(record.share, [...(gone.get(record.share) ?? []), host]);
     }
-    for (const leave of gone) void this.drain(leave);
+    for (const [share, hosts] of gone) void this.drain({ share, hosts });
   }
 }
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -2,10 +2,11 @@
  * The client of the state service: every call within this node's part of the shared budgets, every answer
  * checked, and every failure told as one of three things: refused, no answer, nonsense.
  */
-import { Budget } from "../runtime/budget.js";
 import type { SteadyClock } from "../runtime/clock.js";
+import { Gate } from "../runtime/gate.js";
 import { JsonHttp, NoAnswer, type HttpAnswer } from "../runtime/http-client.js";
 import { jittered, sleep } from "../runtime/wait.js";
+import { NO_SUCH_KEY } from "./keys.js";
 import {
   changesSchema,
   committedSchema,
@@ -41,27 +42,80 @@
   txnOps: number;
 }
 
+/**
+ * What a write is for, from what matters most: holds, ownership and orders; what users wait for; ended jobs; notes
+ * about machines and completed tasks, which may come later without harm.
+ */
+export type WriteKind = "ownership" | "user" | "result" | "note";
+
+/** The part of its burst that each kind of write leaves to those above. */
+const RESERVES: [WriteKind, number][] = [
+  ["ownership", 0],
+  ["user", 0.1],
+  ["result", 0.25],
+  ["note", 0.4],
+];
+/** A node may always use this much of an equal part, whatever the others seem to use. */
+const LEAST_PART = 0.7;
+/** What is seen of others' writes counts for about so long. */
+const SEEN_FOR_MS = 2000;
+
+/** A sum that fades: about what came in the last while. */
+class Fading {
+  private sum = 0;
+  private at: number;
+
+  constructor(private readonly clock: SteadyClock) {
+    this.at = clock();
+  }
+
+  add(count: number): void {
+    this.sum = this.perSecond * (SEEN_FOR_MS / 1000) + count;
+    this.at = this.clock();
+  }
+
+  get perSecond(): number {
+    return (this.sum * Math.exp((this.at - this.clock()) / SEEN_FOR_MS)) / (SEEN_FOR_MS / 1000);
+  }
+}
+
 export class StateClient {
-  private readonly requests: Budget;
-  private readonly writes: Budget;
+  private readonly requests: Gate<"request">;
+  private readonly writes: Gate<WriteKind>;
+  private readonly all: Fading;
+  private readonly own: Fading;
   readonly txnOps: number;
 
   constructor(
     private readonly http: JsonHttp,
     /** Watches hold a connection each, so they must not stand in line with calls. */
     private readonly watchHttp: JsonHttp,
-    limits: StateLimits,
-    controllers: number,
-    clock: SteadyClock,
+    private readonly limits: StateLimits,
+    private readonly controllers: number,
+    private readonly clock: SteadyClock,
     private readonly timeoutMs: number,
   ) {
     // Load is rarely even, so a node may use more than its part; a 429 then slows it down.
     const part = Math.min(1, 1.5 / controllers);
-    this.requests = new Budget(limits.rps * part, limits.rps * part, clock);
-    this.writes = new Budget(limits.writeRps * part, limits.writeRps * part, clock);
+    this.requests = new Gate(limits.rps * part, limits.rps * part, clock, [["request", 0]]);
+    const burst = Math.min(limits.writeRps, Math.max(limits.writeRps * part, limits.txnOps));
+    this.writes = new Gate(limits.writeRps * part, burst, clock, RESERVES);
+    this.all = new Fading(clock);
+    this.own = new Fading(clock);
     this.txnOps = limits.txnOps;
   }
 
+  /**
+   * So many changes by anybody have been seen in the feed. Equal parts would fit neither a leader nor a busy owner:
+   * a node may use what the others, as the feed shows, leave of the whole.
+   */
+  seen(changes: number): void {
+    this.all.add(changes);
+    const { writeRps } = this.limits;
+    const others = Math.max(0, this.all.perSecond - this.own.perSecond);
+    this.writes.rate = Math.max((LEAST_PART * writeRps) / this.controllers, writeRps - others);
+  }
+
   async read(key: string): Promise<{ value: unknown; version: number } | null> {
     const answer = await this.call("GET", paths.state.value(key), undefined, [200, 404]);
     return answer.status === 404 ? null : parsed(valueSchema.safeParse(answer.body));
@@ -75,9 +129,10 @@
     return parsed(pageSchema.safeParse(answer.body));
   }
 
-  async commit(guards: Guard[], writes: Write[]): Promise<Commit> {
-    const wait = this.writes.take(writes.length);
-    if (wait > 0) await sleep(wait);
+  async commit(guards: Guard[], writes: Write[], kind: WriteKind, patienceMs?: number): Promise<Commit> {
+    if (!(await this.writes.pass(writes.length, kind, patienceMs)))
+      throw new StateFailure("no room for the write in time", false);
+    this.own.add(writes.length);
     const answer = await this.call(
       "POST",
       paths.state.transaction,
@@ -88,6 +143,12 @@
     return { ok: true, revision: parsed(committedSchema.safeParse(answer.body)) };
   }
 
+  /** The service's revision now: whoever has seen it has seen all that was durable when it was asked for. */
+  async revision(): Promise<number> {
+    const answer = await this.call("GET", paths.state.value(NO_SUCH_KEY), undefined, [404]);
+    return parsed(committedSchema.safeParse(answer.body));
+  }
+
   async grant(ttlMs: number): Promise<number> {
     const answer = await this.call("POST", paths.state.leases, leaseToWire(ttlMs), [200]);
     return parsed(leaseSchema.safeParse(answer.body));
@@ -101,7 +162,8 @@
       {},
       [200, 404],
       this.http,
-      this.timeoutMs,
+      // A slow service is not a dead one: an answer that comes late still proves the hold from when it was asked for.
+      3 * this.timeoutMs,
     );
     return answer.status === 200;
   }
@@ -126,15 +188,17 @@
   }
 
   private async call(method: string, path: string, body: unknown, expected: number[]): Promise<HttpAnswer> {
-    const wait = this.requests.take(1);
-    if (wait > 0) await sleep(wait);
-    try {
-      return await this.send(method, path, body, expected, this.http, this.timeoutMs);
-    } catch (err) {
-      // 429 means that it was not executed: once more after a pause is safe, and usually enough.
-      if (!(err instanceof StateFailure) || err.status !== 429) throw err;
-      await sleep(jittered(this.timeoutMs / 4));
-      return this.send(method, path, body, expected, this.http, this.timeoutMs);
+    const until = this.clock() + this.timeoutMs;
+    if (!(await this.requests.pass(1, "request", this.timeoutMs)))
+      throw new StateFailure("no room for the request in time", false);
+    for (let pauseMs = this.timeoutMs / 16; ; pauseMs *= 2) {
+      try {
+        return await this.send(method, path, body, expected, this.http, this.timeoutMs);
+      } catch (err) {
+        // 429 means that it was not executed: again after a pause is safe, and usually enough.
+        if (!(err instanceof StateFailure) || err.status !== 429 || this.clock() + pauseMs > until) throw err;
+        await sleep(jittered(pauseMs));
+      }
     }
   }
 
--- a/src/state/feed.ts
+++ b/src/state/feed.ts
@@ -21,7 +21,8 @@
 
 export function changeFeed(
   client: StateClient,
-  prefix: string,
+  /** What is read whole, and what is then followed: a prefix of it. */
+  { whole, followed }: { whole: string; followed: string },
   pace: FeedPace,
   clock: SteadyClock,
   log: Logger,
@@ -33,12 +34,12 @@
       const asOf = clock();
       try {
         if (since === null) {
-          const all = await readAllPages(client, prefix);
+          const all = await readAllPages(client, whole);
           since = all.revision;
           yield { kind: "reset", entries: all.entries, revision: since, asOf };
           continue;
         }
-        const next = await client.changes(prefix, since, pace.waitMs);
+        const next = await client.changes(followed, since, pace.waitMs);
         if (next === null) {
           since = null;
           continue;
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -2,6 +2,7 @@
 import { Writable } from "node:stream";
 import type { Change, Entry } from "../wire/index.js";
 import type { FeedItem } from "./feed.js";
+import { LIVE } from "./keys.js";
 
 export interface ReplicaView {
   readonly revision: number;
@@ -14,26 +15,40 @@
 /** Told after each batch; `null` means that everything may be different. */
 export type ReplicaListener = (changed: Change[] | null) => void;
 
+interface Reader {
+  revision: number;
+  reached(): void;
+}
+
 export class Replica extends Writable implements ReplicaView {
   revision = 0;
   asOf = -Infinity;
-  private entries = new Map<string, Entry>();
+  /** By the part of the key that says what kind of record it is: whoever asks for machines need not pass by jobs. */
+  private kinds = new Map<string, Map<string, Entry>>();
   private readonly followers: ReplicaListener[] = [];
+  private readers: Reader[] = [];
 
   constructor() {
     super({ objectMode: true, highWaterMark: 1 });
   }
 
   get(key: string): Entry | undefined {
-    return this.entries.get(key);
+    return this.kinds.get(kindOf(key))?.get(key);
   }
 
   under(prefix: string): Entry[] {
     const found: Entry[] = [];
-    for (const entry of this.entries.values()) if (entry.key.startsWith(prefix)) found.push(entry);
+    for (const entry of this.kinds.get(kindOf(prefix))?.values() ?? [])
+      if (entry.key.startsWith(prefix)) found.push(entry);
     return found;
   }
 
+  /** Resolves once this copy shows the revision; what is kept waiting for ever is the caller's to bound. */
+  reach(revision: number): Promise<void> {
+    if (this.revision >= revision) return Promise.resolve();
+    return new Promise((resolve) => this.readers.push({ revision, reached: resolve }));
+  }
+
   onChange(listener: ReplicaListener): void {
     this.followers.push(listener);
   }
@@ -41,7 +56,8 @@
   override _write(item: FeedItem, _encoding: string, done: () => void): void {
     let changed: Change[] | null;
     if (item.kind === "reset") {
-      this.entries = new Map(item.entries.map((entry) => [entry.key, entry]));
+      this.kinds = new Map();
+      for (const entry of item.entries) this.put(entry);
       changed = null;
     } else {
       changed = item.changes.filter((change) => this.apply(change));
@@ -49,15 +65,32 @@
     this.revision = Math.max(this.revision, item.revision);
     this.asOf = Math.max(this.asOf, item.asOf);
     for (const listener of this.followers) listener(changed);
+    const waiting = this.readers;
+    this.readers = waiting.filter((reader) => reader.revision > this.revision);
+    for (const reader of waiting) if (reader.revision <= this.revision) reader.reached();
     done();
   }
 
   /** Events since the first page may be older than what a later page showed: the higher version wins. */
   private apply(change: Change): boolean {
-    const known = this.entries.get(change.key);
+    // Of jobs that are over nothing is kept here; whoever remembers them is told.
+    if (!change.key.startsWith(LIVE)) return true;
+    const known = this.get(change.key);
     if (known !== undefined && known.version >= change.version) return false;
-    if (change.value === undefined) return this.entries.delete(change.key);
-    this.entries.set(change.key, change);
+    if (change.value === undefined) return this.kinds.get(kindOf(change.key))?.delete(change.key) ?? false;
+    this.put(change);
     return true;
   }
+
+  private put(entry: Entry): void {
+    const kind = kindOf(entry.key);
+    const entries = this.kinds.get(kind);
+    if (entries) entries.set(entry.key, entry);
+    else this.kinds.set(kind, new Map([[entry.key, entry]]));
+  }
+}
+
+function kindOf(key: string): string {
+  const end = key.indexOf("/", LIVE.length);
+  return key.slice(LIVE.length, end < 0 ? undefined : end);
 }
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -38,6 +38,8 @@
   running: number;
 }
 
+/** Every job begins within this time after it was accepted, whatever else is asked for. */
+export const BEGIN_WITHIN_S = 240;
 export const MAX_TASKS = 100_000;
 export const MAX_BODY_BYTES = 64 * 1024;
 
--- /dev/null
+++ b/src/workers/fleet.ts
@@ -0,0 +1,117 @@
+/** All rented machines by name, followed from their groups' records; and how records change with their machines. */
+import type { Logger } from "../runtime/log.js";
+import { keys, prefixes } from "../state/keys.js";
+import type { ReplicaView } from "../state/replica.js";
+import type { Change, Guard, Write } from "../wire/index.js";
+import { machineOf, readGroup, type MachineGroup, type MachineRecord, type MachineStage } from "./records.js";
+
+interface Known {
+  version: number;
+  group: MachineGroup;
+}
+
+export interface FleetChange {
+  guards: Guard[];
+  writes: Write[];
+  /** The machines that the writes change. */
+  hosts: string[];
+}
+
+export class Fleet {
+  private readonly groups = new Map<string, Known>();
+  private readonly machines = new Map<string, MachineRecord>();
+
+  constructor(private readonly log: Logger) {}
+
+  get(host: string): MachineRecord | undefined {
+    return this.machines.get(host);
+  }
+
+  all(): IterableIterator<[string, MachineRecord]> {
+    return this.machines.entries();
+  }
+
+  get size(): number {
+    return this.machines.size;
+  }
+
+  /** Takes in changed records; null: everything may be different. */
+  follow(view: ReplicaView, changes: Change[] | null): void {
+    if (changes === null) {
+      for (const key of this.groups.keys()) if (view.get(key) === undefined) this.drop(key);
+      changes = view.under(prefixes.machines);
+    }
+    for (const change of changes) if (change.key.startsWith(prefixes.machines)) this.take(change);
+  }
+
+  private take(change: Change): void {
+    if (change.value === undefined) return this.drop(change.key);
+    const group = readGroup(change.value);
+    // A record that cannot be read proves nothing: its machines stay as they were known.
+    if (group === null) return void this.log.error({ key: change.key }, "unreadable machine record");
+    this.drop(change.key);
+    this.groups.set(change.key, { version: change.version, group });
+    for (const host of Object.keys(group.machines))
+      this.machines.set(host, machineOf(change.key, group, host));
+  }
+
+  private drop(key: string): void {
+    const known = this.groups.get(key);
+    if (known === undefined) return;
+    this.groups.delete(key);
+    for (const host of Object.keys(known.group.machines))
+      if (this.machines.get(host)?.group === key) this.machines.delete(host);
+  }
+
+  /**
+   * The writes that bring machines to another stage, or take them out of their records (null): one a group, each on
+   * the condition that the group is as we know it. What is over `room` writes is left out.
+   */
+  change(hosts: string[], to: MachineStage | null, room: number): FleetChange {
+    const guards: Guard[] = [];
+    const writes: Write[] = [];
+    const changed: string[] = [];
+    for (const [key, members] of this.byGroup(hosts)) {
+      if (writes.length >= room) break;
+      const { version, group } = this.groups.get(key)!;
+      const machines = { ...group.machines };
+      for (const host of members) {
+        if (to === null) delete machines[host];
+        else machines[host] = to;
+      }
+      guards.push({ key, version });
+      const empty = Object.keys(machines).length === 0;
+      writes.push(empty ? { remove: key } : { put: key, value: { ...group, machines } });
+      changed.push(...members);
+    }
+    return { guards, writes, hosts: changed };
+  }
+
+  /** The writes that pass machines to another share: out of their groups, into new ones under names not used before. */
+  pass(hosts: string[], share: number, name: () => string, room: number): FleetChange {
+    const found: FleetChange = { guards: [], writes: [], hosts: [] };
+    for (const [key, members] of this.byGroup(hosts)) {
+      if (found.writes.length + 2 > room) break;
+      const out = this.change(members, null, 1);
+      const { group } = this.groups.get(key)!;
+      const machines = Object.fromEntries(members.map((host) => [host, group.machines[host]!]));
+      const fresh = keys.machines(name());
+      found.guards.push(...out.guards, { key: fresh, version: 0 });
+      found.writes.push(...out.writes, { put: fresh, value: { ...group, share, machines } });
+      found.hosts.push(...members);
+    }
+    return found;
+  }
+
+  private byGroup(hosts: string[]): Map<string, string[]> {
+    const groups = new Map<string, string[]>();
+    for (const host of hosts) {
+      const key = this.machines.get(host)?.group;
+      if (key === undefined) continue;
+      const members = groups.get(key);
+      if (members) members.push(host);
+      else groups.set(key, [host]);
+    }
+    return groups;
+  }
+}
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -12,9 +12,11 @@
   /** `assigned`: chosen here, not yet seen in a report. */
   state: "assigned" | "fetching" | "running" | "saving";
   since: number;
-  /** Set once it has been decided to stop this attempt: why, and how long it may take to save. */
   /** Whether an earlier attempt of this task was stopped, so that this one may go on from its checkpoint. */
   resumed: boolean;
+  /** Answers with this start that the machine's next report showed no trace of. */
+  unseen: number;
+  /** Set once it has been decided to stop this attempt: why, and how long it may take to save. */
   stop: { why: "preempt" | "drain"; graceS: number } | null;
 }
 
@@ -23,6 +25,8 @@
   /** What the state service holds; the rest of `done` has yet to be written. */
   readonly durable: Bits;
   readonly active = new Map<number, Placement>();
+  /** How many of the active tasks are not done by another attempt; kept, so that nobody counts on every report. */
+  private activeUndone = 0;
   /** Cancelled or over: its tasks are stopped, and it goes when none is left. */
   closing = false;
   /** Machines on which a task of this job failed. */
@@ -49,7 +53,39 @@
   }
 
   get waiting(): number {
-    return this.closing ? 0 : this.spec.tasks - this.done.count - this.activeUndone();
+    return this.closing ? 0 : this.spec.tasks - this.done.count - this.activeUndone;
+  }
+
+  /** Whether any of its tasks has ever been placed, as far as is known. */
+  get begun(): boolean {
+    return this.done.count > 0 || this.active.size > 0 || this.stopped.size > 0;
+  }
+
+  attach(placement: Placement): void {
+    const former = this.active.get(placement.index);
+    if (former === undefined && !this.done.has(placement.index)) this.activeUndone++;
+    this.active.set(placement.index, placement);
+  }
+
+  detach(placement: Placement): void {
+    if (this.active.get(placement.index) !== placement) return;
+    this.active.delete(placement.index);
+    if (!this.done.has(placement.index)) this.activeUndone--;
+  }
+
+  /** False if that was known. */
+  markDone(index: number): boolean {
+    if (!this.done.add(index)) return false;
+    if (this.active.has(index)) this.activeUndone--;
+    return true;
+  }
+
+  /** Takes in what the records hold of the completed tasks. */
+  mergeDone(chunk: number, bits: string): void {
+    this.done.mergeChunk(chunk, bits);
+    this.durable.mergeChunk(chunk, bits);
+    this.activeUndone = 0;
+    for (const index of this.active.keys()) if (!this.done.has(index)) this.activeUndone++;
   }
 
   /** The lowest waiting task. Done tasks stay done, so the scan need not go back behind them. */
@@ -65,12 +101,6 @@
     for (const p of this.active.values()) if (p.state === "running" || p.state === "saving") n++;
     return n;
   }
-
-  private activeUndone(): number {
-    let n = 0;
-    for (const index of this.active.keys()) if (!this.done.has(index)) n++;
-    return n;
-  }
 }
 
 export class Machine {
@@ -99,6 +129,7 @@
   reported: TaskReport[] = [];
   /** Being passed to another share or drained: nothing new may be placed here. */
   leaving = false;
+  private sum = { cpus: 0, gpus: 0, memoryGb: 0 };
 
   constructor(
     readonly host: string,
@@ -120,13 +151,33 @@
     return this.placements.size === 0 && this.orphans.size === 0 && this.reported.length === 0;
   }
 
-  used(): { cpus: number; gpus: number; memoryGb: number } {
-    const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
-    for (const { job } of this.placements) {
-      sum.cpus += job.spec.cpus;
-      sum.gpus += job.spec.gpus;
-      sum.memoryGb += job.spec.memoryGb;
-    }
-    return sum;
+  /** What its tasks take together; kept, so that nobody adds it up on every report. */
+  used(): Readonly<{ cpus: number; gpus: number; memoryGb: number }> {
+    return this.sum;
+  }
+
+  attach(placement: Placement): void {
+    if (this.placements.has(placement)) return;
+    this.placements.add(placement);
+    this.add(placement, 1);
   }
+
+  detach(placement: Placement): void {
+    if (!this.placements.delete(placement)) return;
+    // Sums of fractions drift; an empty machine is exactly empty.
+    if (this.placements.size === 0) this.sum = { cpus: 0, gpus: 0, memoryGb: 0 };
+    else this.add(placement, -1);
+  }
+
+  private add({ job }: Placement, sign: 1 | -1): void {
+    this.sum.cpus += sign * job.spec.cpus;
+    this.sum.gpus += sign * job.spec.gpus;
+    this.sum.memoryGb += sign * job.spec.memoryGb;
+  }
+}
+
+/** A task is on a machine, or on its way there, from now on. */
+export function attach(placement: Placement): void {
+  placement.job.attach(placement);
+  placement.machine.attach(placement);
 }
--- a/src/workers/records.ts
+++ b/src/workers/records.ts
@@ -1,19 +1,44 @@
-/** The record of a rented machine: whose it is, what it is, and whether it has been named to be given back. */
+/**
+ * The records of rented machines. Machines that were rented together share one record: a fleet of hundreds changes
+ * within the few writes a second that the state service takes.
+ */
 import { z } from "zod";
 
-const machineSchema = z.object({
+/** `booting`: never spoke to an owner, and nothing is placed on it. `leaving`: named to be given back. */
+const stage = z.enum(["booting", "up", "leaving"]);
+export type MachineStage = z.infer<typeof stage>;
+
+const groupSchema = z.object({
   share: z.int().nonnegative(),
   type: z.string(),
   zone: z.string(),
   spot: z.boolean(),
-  /** Time of day of the order, or of when it was first seen. */
+  /** Time of day of the order, or of when they were first seen. */
   since: z.number(),
-  drain: z.boolean(),
-  /** Whether it has ever spoken to an owner. Nothing is placed on it before this is written. */
-  up: z.boolean(),
+  machines: z.record(z.string(), stage),
 });
 
-export type MachineRecord = z.infer<typeof machineSchema>;
+export type MachineGroup = z.infer<typeof groupSchema>;
+
+/** One machine, as its group's record has it. */
+export interface MachineRecord extends Omit<MachineGroup, "machines"> {
+  /** The key of the group's record. */
+  group: string;
+  /** Whether it has been named to be given back. */
+  drain: boolean;
+  /** Whether it has ever spoken to an owner. Nothing is placed on it before this is written. */
+  up: boolean;
+}
+
+export const readGroup = (value: unknown): MachineGroup | null => groupSchema.safeParse(value).data ?? null;
+
+export function machineOf(key: string, group: MachineGroup, host: string): MachineRecord {
+  const { share, type, zone, spot, since } = group;
+  const is = group.machines[host];
+  return { group: key, share, type, zone, spot, since, drain: is === "leaving", up: is !== "booting" };
+}
 
-export const readMachine = (value: unknown): MachineRecord | null =>
-  machineSchema.safeParse(value).data ?? null;
+/** How many machines one record may hold, whatever their names: names have at most 100 characters. */
+export function groupSize(valueBytes: number): number {
+  return Math.max(1, Math.floor(valueBytes / 128) - 4);
+}
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -3,7 +3,7 @@
  * made here, as part of an answer: an answer that comes late is dropped by the worker, so nothing starts late.
  */
 import type { Command, TaskReport, WorkerReport } from "../wire/index.js";
-import type { Job, Machine, Placement } from "./model.js";
+import { attach, type Job, type Machine, type Placement } from "./model.js";
 
 export interface ReportContext {
   jobs: Map<string, Job>;
@@ -72,7 +72,7 @@
     if (job === undefined) return [forget];
     if (task.cause === "done") {
       // A result counts whichever attempt brought it. It is reaped only once it is durable.
-      if (job.done.add(index)) context.ended(job, index, machine, "done");
+      if (job.markDone(index)) context.ended(job, index, machine, "done");
       return job.durable.has(index) || job.closing ? [forget] : [];
     }
     if (ours) context.ended(job, index, machine, task.cause ?? "error");
@@ -101,9 +101,9 @@
     since: context.now,
     stop: null,
     resumed: true,
+    unseen: 0,
   };
-  job.active.set(index, adopted);
-  machine.placements.add(adopted);
+  attach(adopted);
   seen.add(adopted);
   if (task.state === "running") machine.images.add(job.spec.image);
   return [];
@@ -145,9 +145,9 @@
 
 /** The task is proven not to be on its machine any more. */
 export function release(placement: Placement): void {
-  placement.machine.placements.delete(placement);
+  placement.machine.detach(placement);
   if (placement.state !== "assigned") placement.job.stopped.add(placement.index);
-  if (placement.job.active.get(placement.index) === placement) placement.job.active.delete(placement.index);
+  placement.job.detach(placement);
 }
 
 /** The worker's lease is surely over, or the machine is gone: so is everything that was on it. */
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -3,11 +3,11 @@
 import { test } from "node:test";
 import { Parting } from "../src/jobs/parting.js";
 import { uncovered } from "../src/placement/forecast.js";
-import { placeRound, type RoundInput } from "../src/placement/place.js";
+import { placeOn, placeRound, queueOf, type Round, type RoundInput } from "../src/placement/place.js";
 import { choosePreemptions } from "../src/placement/preempt.js";
 import { orderByUrgency } from "../src/placement/urgency.js";
 import type { JobSpec } from "../src/wire/index.js";
-import { Job, Machine, type Placement } from "../src/workers/model.js";
+import { attach, Job, Machine, type Placement } from "../src/workers/model.js";
 import { jobSpec, smallType } from "./support/records.js";
 import { testSettings } from "./support/settings.js";
 
@@ -19,7 +19,8 @@
 }
 
 function machine(host: string, spot = false): Machine {
-  const record = { share: 0, type: "small", zone: "north", spot, since: 0, drain: false, up: true };
+  const of = { group: "g", share: 0, type: "small", zone: "north", spot, since: 0 };
+  const record = { ...of, drain: false, up: true };
   const made = new Machine(host, record, 0);
   made.heard = true;
   return made;
@@ -34,10 +35,10 @@
     state: "running",
     since,
     resumed: false,
+    unseen: 0,
     stop: null,
   };
-  on.placements.add(placement);
-  of.active.set(index, placement);
+  attach(placement);
   return placement;
 }
 
@@ -58,11 +59,15 @@
     settled: true,
     termToken: 0,
     resumeAt: null,
+    kept: new Map(),
     reportMs: 2000,
     ...over,
   };
 }
 
+const wholeRound = (of: RoundInput, clock = () => 0, deadline = 1): Round =>
+  placeRound(of, queueOf(of), clock, deadline);
+
 test("urgent work comes first, then what can wait least for its aim", () => {
   const objectives = [{ kind: "finished", className: "nightly", withinS: 500 }];
   const nightly = job("req-1", { className: "nightly" });
@@ -131,16 +136,16 @@
   const jobs = ["req-1", "req-2", "req-3"].map((id, i) => job(id, {}, NOW + i));
   const host = machine("i-1");
   // Each look at the clock takes all of the time there is: one job a round.
-  const round = placeRound(input(jobs, [host]), () => 10, 5);
+  const round = wholeRound(input(jobs, [host]), () => 10, 5);
   assert.deepEqual([round.starts.length, round.resumeAt], [1, "req-2"]);
-  const next = placeRound(input(jobs, [host], { resumeAt: "req-2" }), () => 0, 5);
+  const next = wholeRound(input(jobs, [host], { resumeAt: "req-2" }), () => 0, 5);
   assert.deepEqual([next.starts.map((s) => s.job.spec.id), next.resumeAt], [["req-2", "req-3"], null]);
 });
 
 test("spot machines are filled before ordinary ones, and a fuller one before an empty one", () => {
   const [ordinary, empty, fuller] = [machine("i-1"), machine("i-2", true), machine("i-3", true)];
   run(fuller, job("req-1"), 0);
-  const { starts } = placeRound(input([job("req-2", { tasks: 8 })], [ordinary, empty, fuller]), () => 0, 1);
+  const { starts } = wholeRound(input([job("req-2", { tasks: 8 })], [ordinary, empty, fuller]));
   assert.deepEqual(
     starts.map((s) => s.machine.host),
     ["i-3", "i-3", "i-3", "i-2", "i-2", "i-2", "i-2", "i-1"],
@@ -160,3 +165,52 @@
   const limited = new Parting(teams.slice(1, 2), 2);
   assert.equal(limited.shareFor(jobSpec("req-1", { team: "capped" })), 0);
 });
+
+test("a report costs what it changes: its machine's room is offered, whatever the size of the share", () => {
+  const few = [machine("i-0"), machine("i-1")];
+  const many = Array.from({ length: 400 }, (_, i) => machine(`i-${i}`));
+  const jobs = ["req-1", "req-2", "req-3"].map((id) => job(id, { tasks: 50 }));
+  const steps = (machines: Machine[]): number => {
+    const of = input(jobs, machines);
+    const round = placeOn(machines[0]!, queueOf(of), of);
+    assert.ok(round.starts.length > 0 && round.starts.every((s) => s.machine === machines[0]));
+    return round.steps;
+  };
+  assert.equal(steps(many), steps(few));
+  assert.ok(steps(many) <= jobs.length);
+});
+
+test("an overdue job goes before urgent and smaller ones, and one machine is kept until its large task fits", () => {
+  const host = machine("i-1");
+  const small = job("req-1", { tasks: 100, priority: "urgent" });
+  for (let i = 0; i < 3; i++) run(host, small, i);
+  const large = job("req-2", { cpus: 4, priority: "best_effort" }, NOW - 150_000);
+  const of = input([small, large], [host]);
+  const round = wholeRound(of);
+  // One processor is free, and the small tasks that keep coming do not get it.
+  assert.deepEqual([round.starts.length, round.kept.get(host)], [0, large]);
+  assert.equal(placeOn(host, queueOf(of), { ...of, kept: round.kept }).starts.length, 0);
+  for (const placement of [...host.placements]) {
+    host.detach(placement);
+    small.detach(placement);
+  }
+  const next = wholeRound({ ...of, kept: round.kept });
+  assert.deepEqual(
+    next.starts.map((s) => s.job),
+    [large],
+  );
+});
+
+test("an overdue job at its team's limit lets no later job of its team pass", () => {
+  const host = machine("i-1");
+  const other = machine("i-2");
+  const running = job("req-1", { team: "capped", tasks: 8 });
+  for (let i = 0; i < 3; i++) run(host, running, i);
+  const large = job("req-2", { team: "capped", cpus: 2 }, NOW - 150_000);
+  const free = job("req-3");
+  const round = wholeRound(input([running, large, free], [host, other]));
+  assert.deepEqual(
+    round.starts.map((s) => s.job),
+    [free],
+  );
+});
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -52,6 +52,7 @@
     if (commands === null) return ["ignored"];
     const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
     share!.place(token, now, () => now, now + 1);
+    share!.placeOn(parsed.value.host, token, now);
     for (const start of share!.startsFor(parsed.value.host))
       if (!known.has(start.attempt)) commands.push(start);
     return [`token ${token}`, ...commands.map(commandText)];
@@ -83,19 +84,19 @@
       }
       case "machine": {
         const zone = event.options.get("zone") ?? "north";
+        const machines = { [name]: event.options.has("booting") ? "booting" : "up" };
         const record = {
-          share: 0,
+          share: number(event, "share", 0),
           type: "small",
           zone,
           spot: false,
           since: 0,
-          drain: false,
-          up: !event.options.has("booting"),
+          machines,
         };
-        return change(view.put(keys.machine(name), record, ++version));
+        return change(view.put(keys.machines(name), record, ++version));
       }
       case "garble":
-        return change(view.put(keys.machine(name), "nonsense", ++version));
+        return change(view.put(keys.machines(name), "nonsense", ++version));
       case "own":
         token = ++version;
         share = new Share(0, token, now, settings, () => types, view, silent);
@@ -103,7 +104,7 @@
       case "cancel":
         return change(view.remove(keys.job(name), ++version));
       case "returned":
-        return change(view.remove(keys.machine(name), ++version));
+        return change(view.remove(keys.machines(name), ++version));
       case "report":
         return report(event);
       case "expire":
@@ -115,7 +116,7 @@
       case "drain":
         return [`leaving ${share!.beginLeaving(words, true).join(" ") || "none"}`];
       case "write":
-        written = share!.completions(8);
+        written = [...share!.finished(8), ...share!.progressed(8)];
         return written.flatMap((c) => [
           ...c.guards.map((g) => `if ${g.key} is at ${g.version}`),
           ...c.writes.map(writeText),
