Name and order for all shares in a pass; machines that hear nothing; late copies

Cause 1: a pass named idle machines of one share and ordered for one share, so that with seven shares machines stood idle for up to a minute in the tail, and the ramp took a pass a share. Traces guard against both, and against late copies of reports.

--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -112,6 +112,7 @@
     const token = this.hooks.token();
     if (token !== null && token !== this.token) {
       this.token = token;
+      this.share.raised(token);
       this.share.attemptsRenewed();
     }
     return token;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -23,7 +23,7 @@
 } from "../wire/index.js";
 import { attach, Job, Machine, type Placement } from "../workers/model.js";
 import { machineOf, readGroup, type MachineRecord } from "../workers/records.js";
-import { applyReport, isNewer, releaseAll } from "../workers/reports.js";
+import { applyReport, isNewer, noteAnswer, releaseAll } from "../workers/reports.js";
 import { uncovered } from "./forecast.js";
 import { orderByUrgency } from "./urgency.js";
 import { choosePreemptions } from "./preempt.js";
@@ -81,6 +81,8 @@
   placingSteps = 0;
   /** Which machines of which group's record are here. */
   private readonly groups = new Map<string, Set<string>>();
+  /** All tokens of this owner's term. */
+  private readonly tokens: Set<number>;
   private readonly progress: ProgressPages;
   /** How new the last report was of machines that have left. */
   private readonly departed = new LRUCache<string, { session: number; seq: number }>({
@@ -100,12 +102,18 @@
   ) {
     const { leaseMs, reportMs } = settings.workers;
     this.leaseMs = leaseMs * (1 + 2 * CLOCK_DRIFT) + reportMs / 4;
+    this.tokens = new Set([termToken]);
     this.progress = new ProgressPages(settings.state.valueBytes);
     this.sync(view, null, startedAt);
     // A machine that never spoke to an owner has never been told to start anything.
     for (const machine of this.machines.values()) machine.inCensus = machine.record.up;
   }
 
+  /** The share's token has been raised by this owner itself: workers that show the new one follow it as well. */
+  raised(token: number): void {
+    this.tokens.add(token);
+  }
+
   /** Whether everything that an earlier owner may have left running has been seen, or is surely over. */
   get settled(): boolean {
     for (const machine of this.machines.values()) if (machine.inCensus) return false;
@@ -230,12 +238,15 @@
     const commands = applyReport(machine, report, {
       jobs: this.jobs,
       now,
-      termToken: this.termToken,
+      startedAt: this.startedAt,
+      leaseMs: this.leaseMs,
+      ofTerm: (token) => this.tokens.has(token),
       ended: (job, index, where, cause) => this.ended(job, index, where, cause, now),
       finished: (placement) => this.learn(placement, now),
     });
     if (machine.up && !wasUp) this.log.info({ host: machine.host, share: this.n }, "machine heard");
     if (machine.heard) machine.inCensus = false;
+    noteAnswer(machine, now);
     this.sweepJobs();
     return commands;
   }
@@ -283,7 +294,7 @@
   expire(now: number): void {
     for (const machine of this.machines.values()) {
       // Before the first report in this term, an earlier owner may have answered until the term began.
-      const since = machine.lastReportAt ?? (machine.inCensus ? this.startedAt : null);
+      const since = machine.lastReportAt ?? (machine.inCensus ? this.startedAt : machine.spokeAt);
       if (since === null || machine.silentSince !== null || now - since <= this.leaseMs) continue;
       machine.silentSince = now;
       const lost = machine.placements.size;
@@ -509,7 +520,7 @@
       if (machine === undefined || machine.leaving) return false;
       const idle = machine.usable && machine.empty && machine.emptyReports >= 2;
       // A machine that never spoke, fell silent or is sick need not be empty: the return itself is the proof.
-      const lost = !machine.heard || machine.silentSince !== null || machine.sick;
+      const lost = !machine.heard || machine.silentSince !== null || machine.deaf || machine.sick;
       if (!idle && !(anyState && lost)) return false;
       machine.leaving = true;
       return true;
@@ -607,6 +618,8 @@
   if (machine.record.drain || machine.leaving) return { host, state: "draining", forMs: 0, emptyReports };
   if (machine.silentSince !== null)
     return { host, state: "silent", forMs: since(machine.silentSince), emptyReports };
+  // It speaks and does not hear: as good as silent, for what is to become of it.
+  if (machine.deaf) return { host, state: "silent", forMs: since(machine.deafSince), emptyReports };
   if (!machine.heard) return { host, state: "booting", forMs: since(machine.addedAt), emptyReports };
   if (machine.sick) return { host, state: "sick", forMs: 0, emptyReports };
   if (machine.empty && machine.noticeS === null)
--- a/src/sizing/size.ts
+++ b/src/sizing/size.ts
@@ -28,8 +28,9 @@
 }
 
 export interface Order extends Market {
-  share: number;
   count: number;
+  /** Which shares it is for, and how many machines each; the first are served first if fewer come. */
+  parts: { share: number; count: number }[];
 }
 
 export interface Leave {
@@ -44,7 +45,8 @@
 export interface SizingActions {
   order: Order | null;
   move: Move | null;
-  drain: Leave | null;
+  /** What is to be named, of each share that has any: asking its owner takes no call to the cloud. */
+  drains: Leave[];
 }
 
 /** A machine that takes longer than this many usual boot times is not counted any more. */
@@ -78,17 +80,25 @@
 }
 
 export function decideSizing(view: SizingView): SizingActions {
-  const actions: SizingActions = { order: null, move: null, drain: chooseDrain(view) };
+  const actions: SizingActions = { order: null, move: null, drains: chooseDrains(view) };
   const types = new Map(view.types.map((t) => [t.name, t]));
   const room = view.caps.maxMachines - view.machines.length;
   const short = shortages(view, types);
   for (const { share, demand, machines } of short) {
     actions.move ??= chooseMove(view, share, demand, types);
-    if (actions.move?.to === share || actions.order !== null || room <= 0) continue;
+    if (actions.move?.to === share) continue;
     const market = cheapest(view, demand);
     if (market === null) continue;
-    const count = Math.min(machines(market), room, MAX_RENTAL);
-    if (count > 0) actions.order = { ...market, share, count };
+    // One call a pass: what other shares need of the same market goes with it.
+    const { order } = actions;
+    if (order !== null && marketKey(order) !== marketKey(market)) continue;
+    const count = Math.min(machines(market), Math.min(room, MAX_RENTAL) - (order?.count ?? 0));
+    if (count <= 0) continue;
+    actions.order = {
+      ...market,
+      count: count + (order?.count ?? 0),
+      parts: [...(order?.parts ?? []), { share, count }],
+    };
   }
   return actions;
 }
@@ -209,7 +219,8 @@
 }
 
 /** Machines to be named: empty over the idle wait, or lost for good. */
-function chooseDrain(view: SizingView): Leave | null {
+function chooseDrains(view: SizingView): Leave[] {
+  const drains: Leave[] = [];
   const types = new Map(view.types.map((t) => [t.name, t]));
   const known = new Map(view.machines.map((m) => [m.host, m]));
   for (const [share, summary] of view.summaries.entries()) {
@@ -230,9 +241,9 @@
         );
       })
       .map((said) => said.host);
-    if (hosts.length > 0) return { share, hosts };
+    if (hosts.length > 0) drains.push({ share, hosts });
   }
-  return null;
+  return drains;
 }
 
 /** Guards against giving back a whole fleet because its owner cannot be reached by it. */
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -3,7 +3,6 @@
  * most one call to the cloud. An order is recorded before it is sent, and its machines before they count.
  */
 import { randomUUID } from "node:crypto";
-import { LRUCache } from "lru-cache";
 import { z } from "zod";
 import { CloudFailure, type CloudClient } from "../cloud/client.js";
 import type { OperatorSettings } from "../config/operator.js";
@@ -34,13 +33,14 @@
   type Move,
   type Order,
 } from "./size.js";
+import { Strangers } from "./strangers.js";
 
 const orderSchema = z.object({
-  share: z.int(),
   type: z.string(),
   zone: z.string(),
   spot: z.boolean(),
   count: z.int().positive(),
+  parts: z.array(z.object({ share: z.int().nonnegative(), count: z.int().positive() })),
   since: z.number(),
 });
 type OrderRecord = z.infer<typeof orderSchema>;
@@ -58,9 +58,6 @@
   askOwner(share: number, request: PeerRequest): Promise<PeerReply>;
 }
 
-/** How many unknown machines are remembered until their second report. */
-const REMEMBERED = 2000;
-
 interface Refusal {
   until: number;
   pauseMs: number;
@@ -70,10 +67,7 @@
   private readonly summaries: { summary: Summary; at: number }[] = [];
   private readonly refusals = new Map<string, Refusal>();
   private readonly strangers = new Map<string, Market>();
-  /** Reports of machines that no record names: one may be a late copy, from a machine long gone. */
-  private readonly heardOf = new LRUCache<string, { session: number; seq: number; at: number }>({
-    max: REMEMBERED,
-  });
+  private readonly unknown: Strangers;
   /** Hosts given back lately: the lists go on showing them for a while. */
   private readonly returned = new Map<string, number>();
   /** Hosts that a list of this term has shown, and when a list first missed them again. */
@@ -97,6 +91,7 @@
     log: Logger,
   ) {
     super(log);
+    this.unknown = new Strangers(settings.workers.reportMs / 2);
   }
 
   protected override receive(message: SizerMessage): void {
@@ -117,18 +112,10 @@
     }
   }
 
-  /**
-   * Guards against adopting a machine that has been returned: copies of its reports may come late, and a machine is
-   * believed to be there only once a second report, newer and some time after the first, has come in.
-   */
   private hear(report: WorkerReport): void {
-    const { host, session, seq, type, zone, spot } = report;
-    const now = this.clock();
-    const first = this.heardOf.get(host);
-    if (first === undefined) return void this.heardOf.set(host, { session, seq, at: now });
-    const newer = session > first.session || (session === first.session && seq > first.seq);
-    if (!newer || now - first.at < this.settings.workers.reportMs / 2) return;
-    if (!this.returned.has(host)) this.strangers.set(host, { type, zone, spot });
+    const { host, type, zone, spot } = report;
+    if (this.returned.has(host) || !this.unknown.hear(report, this.clock())) return;
+    this.strangers.set(host, { type, zone, spot });
   }
 
   private pass(): void {
@@ -165,7 +152,7 @@
     if (await this.refreshTypes(guard, now)) return;
     const types = this.prices ?? this.recordedTypes();
     if (types.length === 0) return;
-    const { order, move, drain } = decideSizing({
+    const { order, move, drains } = decideSizing({
       types,
       summaries: Array.from({ length: this.settings.controllers }, (_, n) => this.freshSummary(n, now)),
       machines: this.machines(),
@@ -175,7 +162,7 @@
       leaseMs: this.settings.workers.leaseMs,
     });
     if (move !== null) await this.move(move);
-    if (drain !== null) await this.drain(drain);
+    await Promise.all(drains.map((drain) => this.drain(drain)));
     // One call to the cloud a pass: what is under way first, then orders, then returns, then a look at the list.
     if (await this.resumeOrders(guard)) return;
     if (order !== null && this.cloud.mayCall()) return this.place(guard, order);
@@ -244,12 +231,16 @@
       "order answered",
     );
     this.noteRefusal(order, hosts.length < order.count);
-    const { share, type, zone, spot } = order;
+    const { type, zone, spot } = order;
     const fresh = hosts.filter((host) => this.fleet.get(host) === undefined);
-    const groups = this.groupsOf(fresh, { share, type, zone, spot });
+    const groups = order.parts.flatMap(({ share, count }) =>
+      this.groupsOf(fresh.splice(0, count), { share, type, zone, spot }),
+    );
     // The order is still there, as it was sent: a late copy of this write brings no machine back.
     const guards = [guard, { key: keys.order(name), version }];
-    await this.state.commit(guards, [...groups, { remove: keys.order(name) }], "ownership");
+    // Machines past what one write holds are in no record: they are adopted once they report.
+    const writes = [...groups.slice(0, this.state.txnOps - 1), { remove: keys.order(name) }];
+    await this.state.commit(guards, writes, "ownership");
   }
 
   /** Records for machines that come together, in as many groups as the limit of a value asks for. */
@@ -287,7 +278,10 @@
     const hosts = marked.slice(0, MAX_RETURN).map((m) => m.host);
     if (hosts.length === 0 || !this.cloud.mayCall()) return false;
     await this.cloud.giveBack(hosts);
-    for (const host of hosts) this.returned.set(host, this.clock());
+    for (const host of hosts) {
+      this.returned.set(host, this.clock());
+      this.unknown.forget(host);
+    }
     this.log.info({ hosts }, "machines returned");
     const { guards, writes } = this.fleet.change(hosts, null, this.state.txnOps);
     // What is over the limit, or changed meanwhile, is returned once more, which harms nobody, and removed then.
--- /dev/null
+++ b/src/sizing/strangers.ts
@@ -0,0 +1,35 @@
+/** Machines that report although no record names them, until it is sure enough that they are there. */
+import { LRUCache } from "lru-cache";
+import type { WorkerReport } from "../wire/index.js";
+
+/** How many unknown machines are remembered until their second report. */
+const REMEMBERED = 2000;
+
+/**
+ * Guards against adopting a machine that has been returned: copies of its reports may come late. A machine is
+ * believed to be there only once a second report, newer and some time after the first, has come in.
+ */
+export class Strangers {
+  private readonly first = new LRUCache<string, { session: number; seq: number; at: number }>({
+    max: REMEMBERED,
+  });
+
+  constructor(private readonly gapMs: number) {}
+
+  /** Whether the machine is to be adopted. */
+  hear(report: Pick<WorkerReport, "host" | "session" | "seq">, now: number): boolean {
+    const { host, session, seq } = report;
+    const first = this.first.get(host);
+    if (first === undefined) {
+      this.first.set(host, { session, seq, at: now });
+      return false;
+    }
+    const newer = session > first.session || (session === first.session && seq > first.seq);
+    return newer && now - first.at >= this.gapMs;
+  }
+
+  /** What was heard of a machine that is gone for sure says nothing any more. */
+  forget(host: string): void {
+    this.first.delete(host);
+  }
+}
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -113,7 +113,14 @@
   inCensus = false;
   session = 0;
   seq = 0;
-  /** When the last report that we may have answered came in. */
+  /** When the first report of the session came in, and when the last answers in it went out. */
+  sessionSince = -Infinity;
+  readonly answers: number[] = [];
+  /** Since when our answers have been found not to arrive. */
+  deafSince: number | null = null;
+  /** When it first spoke in this term. */
+  spokeAt: number | null = null;
+  /** When the last report came in whose answer may have renewed the worker's lease. */
   lastReportAt: number | null = null;
   noticeS: number | null = null;
   /** Since when it has been empty, and in how many reports in a row. */
@@ -141,9 +148,20 @@
     return this.heard && this.silentSince === null;
   }
 
+  /** A session has ended since answers were found not to arrive: what ran here is gone, and nothing new will. */
+  get deaf(): boolean {
+    return this.deafSince !== null && this.sessionSince >= this.deafSince;
+  }
+
   get usable(): boolean {
     return (
-      this.up && this.record.up && !this.leaving && !this.record.drain && !this.sick && this.noticeS === null
+      this.up &&
+      this.record.up &&
+      !this.leaving &&
+      !this.record.drain &&
+      !this.sick &&
+      this.deafSince === null &&
+      this.noticeS === null
     );
   }
 
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -2,20 +2,26 @@
  * What a worker's report proves, and what the worker is told in return. The only commands that start a task are
  * made here, as part of an answer: an answer that comes late is dropped by the worker, so nothing starts late.
  */
-import type { Command, TaskReport, WorkerReport } from "../wire/index.js";
+import { REPORT_TIMEOUT_S, type Command, type TaskReport, type WorkerReport } from "../wire/index.js";
 import { attach, type Job, type Machine, type Placement } from "./model.js";
 
 export interface ReportContext {
   jobs: Map<string, Job>;
   now: number;
-  /** The token with which this owner's term began: a worker that has seen it follows no earlier owner. */
-  termToken: number;
+  /** When this owner's term began. */
+  startedAt: number;
+  /** A worker's lease, with all that may delay its end. */
+  leaseMs: number;
+  /** Whether a token is one of this owner's term: a worker whose highest it is follows this owner and no other. */
+  ofTerm(token: number): boolean;
   /** Tells of an attempt of ours that came to its end with a result. */
   finished(placement: Placement): void;
   /** Tells of a task that ended on this machine; `done` ones have been added to the job already. */
   ended(job: Job, index: number, machine: Machine, cause: NonNullable<TaskReport["cause"]>): void;
 }
 
+/** How many answers in a row a session must have ended after, to say that none arrives. */
+const REMEMBERED_ANSWERS = 3;
 /** Answers stay far under the worker's limit of a line. */
 const MAX_COMMANDS = 300;
 
@@ -26,18 +32,21 @@
   return report.session > machine.session || (report.session === machine.session && report.seq > machine.seq);
 }
 
+/** So many answers with a start that left no trace in the next report: answers do not reach the machine. */
+const LOST_ANSWERS = 3;
+
 /** Takes in a report that is newer than the last one, and returns the commands for the answer. */
 export function applyReport(machine: Machine, report: WorkerReport, context: ReportContext): Command[] {
-  machine.session = report.session;
+  const { now } = context;
+  noteSession(machine, report.session, context);
   machine.seq = report.seq;
-  machine.lastReportAt = context.now;
+  machine.spokeAt ??= now;
+  if (!context.ofTerm(report.token)) return takeUnfollowed(machine, context);
+  machine.lastReportAt = now;
   machine.silentSince = null;
   machine.noticeS = report.noticeS;
   machine.reported = report.tasks;
   machine.orphans = new Set();
-  // Guards against a late report from an earlier owner's time: what it shows may have changed since, under that
-  // owner's commands. Our answer carries the new token, and the report that shows it tells the truth.
-  if (report.token < context.termToken) return [];
   machine.heard = true;
 
   const commands: Command[] = [];
@@ -48,12 +57,51 @@
     if (job && placement?.machine === machine && placement.attempt === task.attempt) seen.add(placement);
     commands.push(...answerTask(machine, task, job, placement, seen, context));
   }
-  dropUnseen(machine, seen);
+  dropUnseen(machine, seen, now);
   for (const placement of machine.placements) commands.push(...commandsFor(placement));
   noteEmptiness(machine, context.now);
   return commands.slice(0, MAX_COMMANDS);
 }
 
+/**
+ * Guards against a late report, or a copy of one, from an earlier owner's time or another share's: what it shows may
+ * have changed since under that owner's commands, so that it shows nothing. Our answer carries our token, and the
+ * report that has it tells the truth.
+ *
+ * It also guards against a machine whose reports arrive and which no answer reaches. A newer report without our token
+ * proves that no answer of this term before it was taken. So what ran there when the term began lives on past a lease
+ * only if the answer to this very report is taken, and only if it was sent within that lease; the worker drops an
+ * answer that takes longer than its time-out. Reports after both say nothing of the lease any more: the machine counts
+ * as silent then, however often it speaks, and holds up neither the share nor a job.
+ */
+function takeUnfollowed(machine: Machine, { now, startedAt, leaseMs }: ReportContext): Command[] {
+  if (now - startedAt <= leaseMs + REPORT_TIMEOUT_S * 1000) machine.lastReportAt = now;
+  return [];
+}
+
+/**
+ * A session ends when no answer has come for a lease. Where answers were given all the while, they do not arrive; the
+ * machine takes nothing new until a session has outlived a lease.
+ */
+function noteSession(machine: Machine, session: number, { now, leaseMs }: ReportContext): void {
+  if (session > machine.session) {
+    const oldest = machine.answers[0];
+    const unheeded =
+      machine.answers.length === REMEMBERED_ANSWERS && oldest !== undefined && now - oldest < leaseMs;
+    if (machine.session > 0 && unheeded) machine.deafSince ??= now;
+    machine.session = session;
+    machine.sessionSince = now;
+    machine.answers.length = 0;
+  } else if (machine.deafSince !== null && now - Math.max(machine.sessionSince, machine.deafSince) > leaseMs)
+    machine.deafSince = null;
+}
+
+/** Remembers that an answer goes out now. */
+export function noteAnswer(machine: Machine, now: number): void {
+  machine.answers.push(now);
+  if (machine.answers.length > REMEMBERED_ANSWERS) machine.answers.shift();
+}
+
 function answerTask(
   machine: Machine,
   task: TaskReport,
@@ -113,12 +161,19 @@
  * A newer report without a task proves it gone. That holds for starts as well: the worker either carried out the
  * answer to its last report before it made this one, or has dropped that answer for good.
  */
-function dropUnseen(machine: Machine, seen: Set<Placement>): void {
+function dropUnseen(machine: Machine, seen: Set<Placement>, now: number): void {
   for (const placement of [...machine.placements]) {
-    if (seen.has(placement)) continue;
+    if (seen.has(placement)) {
+      placement.unseen = 0;
+      continue;
+    }
     const startAgain =
       placement.state === "assigned" && !placement.stop && !placement.job.closing && machine.usable;
-    if (!startAgain) release(placement);
+    // Guards against a task that waits for ever on a machine that hears nothing: this report proves that none of the
+    // starts so far was taken, and this answer brings no other.
+    if (startAgain && placement.unseen++ < LOST_ANSWERS) continue;
+    if (startAgain) machine.deafSince ??= now;
+    release(placement);
   }
 }
 
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -1,6 +1,9 @@
 /** Traces of sizing: summaries and machines in; orders, moves and namings out. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
 import type { Demand, MachineCondition, Summary } from "../src/peers/messages.js";
 import { decideSizing, marketKey, type Known } from "../src/sizing/size.js";
+import { Strangers } from "../src/sizing/strangers.js";
 import { smallType } from "./support/records.js";
 import { number, traceTests, type Step } from "./support/trace.js";
 
@@ -75,7 +78,7 @@
         refused.add(name);
         return [];
       case "pass": {
-        const { order, move, drain } = decideSizing({
+        const { order, move, drains } = decideSizing({
           types: [smallType],
           summaries,
           machines: [...machines.values()],
@@ -85,9 +88,10 @@
           leaseMs: 10_000,
         });
         return [
-          order && `order ${order.count} ${marketKey(order)} for share ${order.share}`,
+          order &&
+            `order ${order.count} ${marketKey(order)} for ${order.parts.map((p) => `${p.count} share ${p.share}`).join(", ")}`,
           move && `move ${move.hosts.join(" ")} from share ${move.share} to ${move.to}`,
-          drain && `name ${drain.hosts.join(" ")} of share ${drain.share}`,
+          ...drains.map((drain) => `name ${drain.hosts.join(" ")} of share ${drain.share}`),
         ].filter((line) => line !== null);
       }
     }
@@ -96,3 +100,17 @@
 }
 
 traceTests("sizing", newScenario);
+
+test("one late copy of a report does not bring a returned machine back into the records", () => {
+  const strangers = new Strangers(750);
+  const copy = { host: "i-1", session: 2, seq: 40 };
+  // However often the same report comes, it is one report; an older one proves nothing either.
+  assert.deepEqual(
+    [0, 1000, 60_000].map((at) => strangers.hear(copy, at)),
+    [false, false, false],
+  );
+  assert.equal(strangers.hear({ ...copy, seq: 39 }, 61_000), false);
+  assert.equal(strangers.hear({ ...copy, seq: 41 }, 61_500), true);
+  strangers.forget("i-1");
+  assert.equal(strangers.hear({ ...copy, seq: 42 }, 62_000), false);
+});
