--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -130,7 +130,9 @@
     const commands = this.share.report(report, now);
     if (commands === null) return { kind: "refused" };
     this.noteUp();
-    const placed = this.share.hasFresh ? this.place(token) : this.share.placeOn(report.host, token, now) > 0;
+    const placed = this.share.wantsRound
+      ? this.place(token)
+      : this.share.placeOn(report.host, token, now) > 0;
     if (placed) {
       const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
       for (const start of this.share.startsFor(report.host))
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -46,6 +46,9 @@
 /** A machine on which so many jobs fail, with no success between, is at fault itself. */
 const FAULTY_MACHINE_JOBS = 2;
 
+/** With more than this part of its processors free a share has room to spare. */
+const ROOMY = 1 / 8;
+
 /** The weight of one more task in what is known of a class's estimates. */
 const LEARNING = 0.1;
 
@@ -74,6 +77,7 @@
   private attempts = 0;
   private resumeAt: string | null = null;
   private fresh: Job[] = [];
+  private roomy = false;
   /** The waiting jobs as last ordered, and the machines held back for overdue ones. */
   private queue: Job[] = [];
   private kept = new Map<Machine, Job>();
@@ -314,7 +318,10 @@
     this.fresh = [];
     const round = placeRound(input, this.queue, clock, deadline);
     this.resumeAt = round.resumeAt;
-    return this.take(round, token, now);
+    const started = this.take(round, token, now);
+    const load = this.load();
+    this.roomy = load.cpus - load.used > ROOMY * load.cpus;
+    return started;
   }
 
   /** Offers the room of a machine that has just spoken to what waits. */
@@ -325,9 +332,13 @@
     return this.take(placeOn(machine, this.queue, this.roundInput(now)), token, now);
   }
 
-  /** Whether jobs have come since the last whole round. */
-  get hasFresh(): boolean {
-    return this.fresh.length > 0;
+  /**
+   * Whether a report should lead to a whole round: jobs have come since the last one, or there is room to spare. With
+   * room to spare the room of whichever machine speaks is not the best: work is drawn together on full machines, so
+   * that the others run empty and can be given back.
+   */
+  get wantsRound(): boolean {
+    return this.fresh.length > 0 || this.roomy;
   }
 
   private take(round: Round, token: number, now: number): number {
