--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -1,7 +1,6 @@
 /**
- * Which running tasks to stop so that others can start: lower priority for higher, and what a team borrows beyond its
- * guarantee for a team that is within its own. Only where it can be had cheaply (work that is saved, or hardly begun),
- * and only where nothing ends soon anyway. Pure.
+ * Which running tasks to stop so that more urgent ones can start. Only lower priority gives way, only where it
+ * can be had cheaply (work that is saved, or hardly begun), and only where nothing ends soon anyway. Pure.
  */
 import type { Team } from "../config/settings.js";
 import type { SteadyClock } from "../runtime/clock.js";
@@ -46,15 +45,10 @@
   deadline = Infinity,
 ): Placement[] {
   const jobs = [...input.jobs];
-  const usage = teamUsage(jobs);
-  const waiting = jobs.filter(
-    (job) =>
-      job.waiting > 0 &&
-      startable(job, input) &&
-      (cannotWait(job, input) || guaranteed(job, input.teams, usage)),
-  );
+  const waiting = jobs.filter((job) => job.waiting > 0 && startable(job, input) && cannotWait(job, input));
   if (waiting.length === 0) return [];
   const chosen: Placement[] = [];
+  const usage = teamUsage(jobs);
   const unseen = unseenUsage(input.machines, input.types);
   const rooms = roomsAfterEnds(input, usage);
   // What placing would serve after its victims must not stop them: they would only start again before it.
@@ -129,27 +123,6 @@
   return slackOfRunning(victim.job, endsIn(victim, type, input), input) > setBack;
 }
 
-type Usages = Map<string, { cpus: number; gpus: number }>;
-
-/** Whether one more task of the job stays within what its team is guaranteed. */
-function guaranteed(job: Job, teams: Team[], usage: Usages): boolean {
-  const team = teams.find((t) => t.name === job.spec.team);
-  const used = usage.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
-  if (team === undefined || team.cpus + team.gpus <= 0) return false;
-  return used.cpus + job.spec.cpus <= team.cpus && used.gpus + job.spec.gpus <= team.gpus;
-}
-
-/** Whether the task's team uses more than it is guaranteed, with this task or without it. */
-function borrowed(victim: Placement, teams: Team[], usage: Usages): boolean {
-  const { spec } = victim.job;
-  const team = teams.find((t) => t.name === spec.team);
-  const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
-  // Nothing is stopped twice for this either: two teams must not push each other out in turn.
-  return (
-    team !== undefined && !victim.resumed && (used.cpus - spec.cpus >= team.cpus || used.gpus > team.gpus)
-  );
-}
-
 function cheapToStop(placement: Placement, input: PreemptInput): boolean {
   if (placement.state === "saving") return false;
   if (placement.job.spec.checkpointS > 0 || placement.state !== "running") return true;
@@ -169,7 +142,6 @@
 ): { room: Room; victims: Placement[] } | null {
   const used = usage.get(job.spec.team)!;
   const limited = !underLimit(team, used, unseen, job.spec);
-  const owed = guaranteed(job, input.teams, usage);
   let best: { room: Room; victims: Placement[]; cost: number } | null = null;
   for (const room of rooms) {
     if (!zoneAllowed(job, room.machine.record.zone, zones)) continue;
@@ -177,10 +149,9 @@
     const free: Amounts = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
     const after = { ...used };
     for (const victim of room.victims) {
-      if (fits(free, job.spec) && underLimit(team, after, unseen, job.spec)) break;
-      const outranks = rank(victim.job) < rank(job);
-      const byRank = outranks && place.get(victim.job)! >= place.get(job)! && mayGiveWay(victim, job, input);
-      if (!byRank && !(owed && borrowed(victim, input.teams, usage))) continue;
+      const enough = fits(free, job.spec) && underLimit(team, after, unseen, job.spec);
+      if (enough || rank(victim.job) >= rank(job)) break;
+      if (place.get(victim.job)! < place.get(job)! || !mayGiveWay(victim, job, input)) continue;
       const own = victim.job.spec.team === job.spec.team;
       // Another team's task makes room on the machine, but not under this team's limit.
       if (limited && !own && !underLimit(team, after, unseen, job.spec)) continue;
