--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -53,6 +53,8 @@
   private ledSince: number | null = null;
   private lastMove = -Infinity;
   private busy = false;
+  /** A share to be passed on as soon as nothing else is under way. */
+  private askedHandOver: { share: number; to: string } | null = null;
   /** The last time that this process raised a share's token itself. */
   private readonly raises = new Map<number, Raise>();
   /** Shares that this process has stepped back from while it passes them on. */
@@ -130,12 +132,15 @@
         return;
       case "acted":
         this.busy = false;
+        this.handOverAsked();
         return;
       case "raise":
         void this.raise(message.share);
         return;
       case "hand_over":
-        void this.handOver(message.share, message.to);
+        // Guards against a leader that owns every share and never passes one on: it asks itself in the middle of acting.
+        this.askedHandOver = { share: message.share, to: message.to };
+        this.handOverAsked();
         return;
     }
   }
@@ -278,11 +283,18 @@
     }
   }
 
+  private handOverAsked(): void {
+    const asked = this.askedHandOver;
+    if (asked === null || this.busy) return;
+    this.askedHandOver = null;
+    void this.handOver(asked.share, asked.to);
+  }
+
   /** Steps back first, writes second: by the time the new owner reads its name, this one has stopped. */
   private async handOver(share: number, to: string): Promise<void> {
     const record = this.cluster.shares[share];
     const heir = this.cluster.members.get(to);
-    if (!record || !heir || this.token(share) === null || this.busy) return;
+    if (!record || !heir || this.token(share) === null) return;
     this.busy = true;
     this.released.add(share);
     const key = keys.share(share);
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -156,7 +156,11 @@
     if (now - this.lastSummary >= this.figures.spacingMs) {
       this.lastSummary = now;
       const summary = this.share.summary(token, now);
-      this.log.debug({ share: this.share.n, ...summary.load, demand: summary.demand }, "load");
+      if (this.log.isLevelEnabled("debug"))
+        this.log.debug(
+          { share: this.share.n, ...summary.load, ...this.share.usage(), demand: summary.demand },
+          "load",
+        );
       this.hooks.summary(summary);
     }
   }
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -377,6 +377,10 @@
         resumed: job.stopped.has(index),
         unseen: 0,
       };
+      if (!job.begun) {
+        const waitedS = Math.round((Date.now() - job.acceptedAt) / 1000);
+        this.log.info({ job: job.spec.id, tasks: job.spec.tasks, waitedS }, "job begins");
+      }
       attach(placement);
       machine.emptySince = null;
       machine.emptyReports = 0;
@@ -579,6 +583,14 @@
     return load;
   }
 
+  /** What the processors in use are doing, for operators who ask where money goes. */
+  usage(): Record<Placement["state"], number> {
+    const cpus = { assigned: 0, fetching: 0, running: 0, saving: 0 };
+    for (const machine of this.machines.values())
+      for (const { state, job } of machine.placements) cpus[state] += job.spec.cpus;
+    return cpus;
+  }
+
   counts(id: string): { known: boolean; done: number; running: number } {
     const job = this.jobs.get(id);
     if (job === undefined) return { known: false, done: 0, running: 0 };
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -2,7 +2,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { decideMembership, type MembershipView } from "../src/membership/decide.js";
+import { Membership } from "../src/membership/membership.js";
 import { sameTerm, type Held } from "../src/membership/records.js";
+import type { StateClient } from "../src/state/client.js";
+import { keys } from "../src/state/keys.js";
+import type { Guard, Write } from "../src/wire/index.js";
+import { FakeView, silent } from "./support/records.js";
 
 const member = (node: string, version: number, incarnation = `${node}.1`): Held => ({
   node,
@@ -73,3 +78,47 @@
   assert.equal(sameTerm(10, 11, { from: 10, to: 11 }), true);
   assert.equal(sameTerm(10, 10, undefined), true);
 });
+
+test("a leader that owns every share passes one on, although it asks itself while it acts", async () => {
+  const store = new FakeView();
+  const me = { node: "a", incarnation: "a.1" };
+  store.put(keys.leader, me, 9);
+  store.put(keys.member("b"), { node: "b", incarnation: "b.1" }, 2);
+  store.put(keys.member("c"), { node: "c", incarnation: "c.1" }, 3);
+  [10, 11, 12].forEach((version, n) => store.put(keys.share(n), me, version));
+  let revision = 12;
+  const state = {
+    grant: () => Promise.resolve(1),
+    read: () => Promise.resolve(null),
+    renew: () => Promise.resolve(true),
+    commit: (_guards: Guard[], writes: Write[]) => {
+      revision++;
+      for (const write of writes) if ("put" in write) store.put(write.put, write.value, revision);
+      return Promise.resolve({ ok: true as const, revision });
+    },
+  };
+  const figures = { holdMs: 5000, marginMs: 100, staleMs: 5000, sharePeriodMs: 30_000 };
+  const hooks = {
+    ownership: () => undefined,
+    askHandOver: (_owner: string, share: number, to: string) =>
+      void membership.tell({ kind: "hand_over", share, to }),
+  };
+  const membership = new Membership(
+    me,
+    3,
+    3,
+    figures,
+    state as unknown as StateClient,
+    store,
+    () => 0,
+    hooks,
+    silent,
+  );
+  for (let i = 0; i < 3; i++) {
+    membership.tell({ kind: "tick" });
+    await new Promise((resolve) => setImmediate(resolve));
+    membership.tell({ kind: "records" });
+  }
+  const owners = membership.cluster.shares.map((s) => s?.node);
+  assert.deepEqual(owners.sort(), ["a", "a", "b"]);
+});
