--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -329,12 +329,15 @@
   return null;
 }
 
+/** What an image at hand is worth beside how full a machine is: fetching one costs less than keeping a machine up. */
+const IMAGE_WORTH = 0.4;
+
 /**
- * The cheapest kind first, then one that has the image, then the fullest: dear and empty machines are left to run
- * dry and be given back. Urgent work cannot wait for an image, and goes where it is first.
+ * The cheapest kind first, then the fuller one, or one that has the image: dear and empty machines are left to run dry
+ * and be given back. Urgent work cannot wait for an image, and goes where it is first.
  */
 function scoreOf(job: Job, room: Room): number {
-  const image = PRIORITIES.indexOf(job.spec.priority) >= URGENT ? 4 : 1;
+  const image = PRIORITIES.indexOf(job.spec.priority) >= URGENT ? 4 : IMAGE_WORTH;
   return (
     (room.machine.record.spot ? 2 : 0) +
     (room.machine.images.has(job.spec.image) ? image : 0) -
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -84,8 +84,6 @@
   /** How many usable machines have an image, as of the last whole round. */
   private imageCounts = new Map<string, number>();
   private kept = new Map<Machine, Job>();
-  /** Machines looked at in all rounds: what placing has cost so far, for tests. */
-  placingSteps = 0;
   /** Which machines of which group's record are here. */
   private readonly groups = new Map<string, Set<string>>();
   /** All tokens of this owner's term. */
@@ -363,7 +361,6 @@
 
   private take(round: Round, token: number, now: number): number {
     this.kept = round.kept;
-    this.placingSteps += round.steps;
     for (const { job, index, machine } of round.starts) {
       const attempt = token * ATTEMPTS_PER_TOKEN + ++this.attempts;
       const placement: Placement = {
