--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,6 +7,8 @@
 import type { OperatorSettings } from "./config/operator.js";
 import type { Settings } from "./config/settings.js";
 import { createApp, type Routed } from "./http/app.js";
+import { Relay } from "./http/relay.js";
+import { JobDesk, type UserAnswer, type UserRequest } from "./http/users.js";
 import { Parting } from "./jobs/parting.js";
 import { JobService } from "./jobs/service.js";
 import { Membership } from "./membership/membership.js";
@@ -15,8 +17,9 @@
 import { Share } from "./placement/share.js";
 import { ShareKeeper, type ReportAnswer } from "./placement/share-keeper.js";
 import { steadyClock } from "./runtime/clock.js";
-import { JsonHttp } from "./runtime/http-client.js";
+import { JsonHttp, parseJson } from "./runtime/http-client.js";
 import type { Logger } from "./runtime/log.js";
+import { toDemandRecord } from "./sizing/demand-record.js";
 import { Sizer } from "./sizing/sizer.js";
 import { StateClient } from "./state/client.js";
 import { changeFeed } from "./state/feed.js";
@@ -53,6 +56,8 @@
     sharePeriodMs: operator.sharePeriodMs,
     /** Calls to the state service take milliseconds; four of these fit into a hold. */
     callMs: holdMs / 5,
+    /** A quiet watch is answered after a report interval; past two of them something is wrong. */
+    behindMs: 2 * reportMs,
     /** Peers answer at once or not in time for a user. */
     peerMs: Math.min(holdMs / 10, (REPORT_TIMEOUT_S * 1000) / 8),
     feedWaitMs: reportMs,
@@ -85,8 +90,12 @@
   private readonly sizer: Sizer;
   private readonly peers: Peers;
   private readonly jobs: JobService;
+  private readonly desk: JobDesk;
+  private readonly relay: Relay;
   private readonly parting: Parting;
   private readonly keepers = new Map<number, Kept>();
+  /** When a share's summary was last left in the records. */
+  private readonly leftAt = new Map<number, number>();
   private readonly figures: ReturnType<typeof deriveFigures>;
   private typesByName = new Map<string, MachineType>();
   private ticker: NodeJS.Timeout | null = null;
@@ -156,6 +165,16 @@
       figures.submitPatienceMs,
       log,
     );
+    this.desk = new JobDesk(this.jobs);
+    this.relay = new Relay({
+      own: this.desk,
+      peers: settings.peers.map((p) => p.node),
+      ask: (peer, request) => this.forward(peer, request),
+      behind: () => this.behind(),
+      pauseMs: figures.peerMs,
+      clock: steadyClock,
+      log,
+    });
     this.replica.onChange((changes) => this.follow(changes));
   }
 
@@ -174,9 +193,9 @@
     this.membership.tell({ kind: "tick" });
     const peerPort = await this.peers.listen(this.settings.peerListen, (request) => this.answerPeer(request));
     const app = createApp({
-      jobs: this.jobs,
+      users: this.relay,
       report: (report) => this.routeReport(report),
-      healthy: () => this.replica.asOf > -Infinity,
+      healthy: () => this.healthy(),
       log: this.log,
     });
     const server = createServer(app.callback());
@@ -207,6 +226,29 @@
     };
   }
 
+  /** Whether the records have not been followed for longer than a quiet watch stays open. */
+  private behind(): boolean {
+    return steadyClock() - this.replica.asOf > this.figures.behindMs;
+  }
+
+  /**
+   * A node that cannot follow the records stays up while peers answer it: either they answer its users' requests too,
+   * or the state service is down for all and no node would do better. Cut off from both, it sends users elsewhere.
+   */
+  private healthy(): boolean {
+    if (this.replica.asOf === -Infinity) return false;
+    if (!this.behind() || this.settings.peers.length === 0) return true;
+    return steadyClock() - this.peers.heardAt < this.figures.behindMs;
+  }
+
+  private async forward(peer: string, { method, path, body }: UserRequest): Promise<UserAnswer> {
+    const text = body === undefined ? "" : JSON.stringify(body);
+    const request = { forward: { method, path, body: text } };
+    const reply = await this.peers.ask(peer, request, this.figures.lookPatienceMs);
+    if (!("answer" in reply)) return { status: 503, body: { error: "no answer" } };
+    return { status: reply.answer.status, body: (parseJson(reply.answer.body) ?? {}) as object };
+  }
+
   private tick(): void {
     this.membership.tell({ kind: "tick" });
     for (const { keeper } of this.keepers.values()) keeper.tell({ kind: "tick" });
@@ -290,8 +332,22 @@
   private sendSummary(summary: Summary): void {
     const { share, load } = summary;
     const leader = this.membership.leader();
-    for (const node of [this.settings.node, ...this.settings.peers.map((p) => p.node)])
-      this.askNode(node, node === leader ? { summary } : { load: { share, load } }).catch(() => undefined);
+    for (const node of [this.settings.node, ...this.settings.peers.map((p) => p.node)]) {
+      if (node === leader) this.askNode(node, { summary }).catch(() => this.leaveSummary(summary));
+      else this.askNode(node, { load: { share, load } }).catch(() => undefined);
+    }
+  }
+
+  /** The leader cannot be reached, or not by us: it may still read the records. */
+  private leaveSummary(summary: Summary): void {
+    const now = steadyClock();
+    const { share, token } = summary;
+    if (now - (this.leftAt.get(share) ?? -Infinity) < 2 * this.operator.passSpacingMs) return;
+    this.leftAt.set(share, now);
+    const write = { put: keys.demand(share), value: toDemandRecord(summary) };
+    this.state
+      .commit([{ key: keys.share(share), version: token }], [write], "note", this.figures.submitPatienceMs)
+      .catch((err: Error) => this.log.debug({ share, err: err.message }, "summary not left in the records"));
   }
 
   private askNode(node: string | null, request: PeerRequest): Promise<PeerReply> {
@@ -309,6 +365,11 @@
       this.noteLoad(request.load);
       return NOTHING;
     }
+    if ("forward" in request) {
+      const { method, path, body } = request.forward;
+      const { status, body: said } = await this.desk.answer({ method, path, body: parseJson(body) });
+      return { answer: { status, body: JSON.stringify(said) } };
+    }
     if ("handOver" in request) {
       this.membership.tell({ kind: "hand_over", ...request.handOver });
       return NOTHING;
--- a/src/http/app.ts
+++ b/src/http/app.ts
@@ -1,24 +1,14 @@
 /** The interface for users, workers and health checks. */
 import Koa, { type Context } from "koa";
-import type { JobService, LookResult } from "../jobs/service.js";
 import { BodyTooLarge, parseJson, readAll } from "../runtime/http-client.js";
 import type { Logger } from "../runtime/log.js";
-import {
-  MAX_BODY_BYTES,
-  acceptedToWire,
-  isJobId,
-  parseReport,
-  parseSubmission,
-  paths,
-  redirectToWire,
-  statusToWire,
-  type WorkerReport,
-} from "../wire/index.js";
+import { MAX_BODY_BYTES, parseReport, paths, redirectToWire, type WorkerReport } from "../wire/index.js";
+import type { UserDesk } from "./users.js";
 
 export type Routed = { kind: "commands"; body: object } | { kind: "redirect"; owner: string | null };
 
 export interface AppParts {
-  jobs: JobService;
+  users: UserDesk;
   /** Finds who may answer a worker, and answers if that is this node. */
   report(report: WorkerReport): Promise<Routed>;
   healthy(): boolean;
@@ -32,16 +22,13 @@
   const app = new Koa();
   app.on("error", (err: Error) => parts.log.debug({ err: err.message }, "request failed"));
   app.use(async (ctx) => {
+    if (ctx.path === paths.health) return only(ctx, "GET", () => health(ctx, parts));
+    if (ctx.path === paths.report) return only(ctx, "POST", () => report(ctx, parts));
     const { method, path } = ctx;
-    const job = paths.job.exec(path)?.[1];
-    const cancel = paths.cancel.exec(path)?.[1];
-    if (path === paths.health) return only(ctx, "GET", () => health(ctx, parts));
-    if (path === paths.report) return only(ctx, "POST", () => report(ctx, parts));
-    if (path === paths.submit) return only(ctx, "POST", () => submit(ctx, parts));
-    if (cancel !== undefined)
-      return only(ctx, "POST", () => look(ctx, cancel, (id) => parts.jobs.cancel(id)));
-    if (job !== undefined) return only(ctx, "GET", () => look(ctx, job, (id) => parts.jobs.look(id), true));
-    answer(ctx, 404, { error: `nothing at ${method} ${path.slice(0, 100)}` });
+    const body = method === "POST" ? await readBody(ctx) : undefined;
+    const { status, body: said, allow } = await parts.users.answer({ method, path, body });
+    if (allow !== undefined) ctx.set("Allow", allow);
+    answer(ctx, status, said);
   });
   return app;
 }
@@ -76,36 +63,6 @@
   }
 }
 
-async function submit(ctx: Context, parts: AppParts): Promise<void> {
-  const parsed = parseSubmission(await readBody(ctx));
-  if (!parsed.ok) {
-    return answer(ctx, 400, { error: parsed.error });
-  }
-  const result = await parts.jobs.submit(parsed.value);
-  switch (result.kind) {
-    case "accepted":
-      return answer(ctx, result.fresh ? 201 : 200, acceptedToWire(parsed.value.id, result.stage));
-    case "malformed":
-      return answer(ctx, 400, { error: result.reason });
-    case "impossible":
-      return answer(ctx, 422, { error: result.reason });
-    case "unavailable":
-      return answer(ctx, 503, { error: "cannot decide now" });
-  }
-}
-
-async function look(
-  ctx: Context,
-  id: string,
-  find: (id: string) => Promise<LookResult>,
-  counts = false,
-): Promise<void> {
-  const result: LookResult = isJobId(id) ? await find(id) : { kind: "unknown" };
-  if (result.kind === "unknown") return answer(ctx, 404, { error: "no such job" });
-  if (result.kind === "unavailable") return answer(ctx, 503, { error: "cannot say now" });
-  answer(ctx, 200, counts ? statusToWire(result.status) : acceptedToWire(id, result.status.stage));
-}
-
 async function report(ctx: Context, parts: AppParts): Promise<void> {
   const parsed = parseReport(await readBody(ctx));
   if (!parsed.ok) {
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -12,9 +12,18 @@
 /** Past this many unanswered questions a peer counts as silent: nothing may queue without bound. */
 const MAX_WAITING = 256;
 
+/** A connection on which nothing came for so many time-outs is given up. */
+const QUIET = 2;
+
+/** How many questions of one peer are worked on at a time. */
+const MAX_OPEN = 32;
+
 class PeerLink {
   private socket: Socket | null = null;
   private nextId = 1;
+  /** When the peer last said anything, and when the connection was begun; steady time. */
+  heardAt = -Infinity;
+  private connectedAt = -Infinity;
   private readonly waiting = new Map<number, (reply: PeerReply | null) => void>();
 
   constructor(
@@ -23,15 +32,17 @@
     private readonly log: Logger,
   ) {}
 
-  ask(request: PeerRequest): Promise<PeerReply> {
+  ask(request: PeerRequest, timeoutMs = this.timeoutMs): Promise<PeerReply> {
     return new Promise((resolve, reject) => {
       if (this.waiting.size >= MAX_WAITING) return reject(new PeerSilent(this.address));
       const id = this.nextId++;
       const timer = setTimeout(() => {
-        // Whatever is still under way on this connection may be held by a cut: start over with a new one.
-        this.socket?.destroy();
+        // Whatever is still under way on a connection that has gone quiet may be held by a cut: start over with a new
+        // one. A peer that is only slow is left alone, or it would never get to answer anybody.
+        if (performance.now() - Math.max(this.heardAt, this.connectedAt) > QUIET * this.timeoutMs)
+          this.socket?.destroy();
         settle(null);
-      }, this.timeoutMs);
+      }, timeoutMs);
       const settle = (reply: PeerReply | null): void => {
         clearTimeout(timer);
         this.waiting.delete(id);
@@ -54,9 +65,11 @@
     socket.setNoDelay(true);
     socket.connect(Number(this.address.slice(colon + 1)), this.address.slice(0, colon));
     this.socket = socket;
+    this.connectedAt = performance.now();
     const answers = new Writable({
       objectMode: true,
       write: (frame: Frame, _encoding, done) => {
+        this.heardAt = performance.now();
         if (frame.reply) this.waiting.get(frame.id)?.(frame.body);
         done();
       },
@@ -84,10 +97,15 @@
     this.links = new Map(peers.map((p) => [p.node, new PeerLink(p.address, timeoutMs, log)]));
   }
 
-  async ask(node: string, request: PeerRequest): Promise<PeerReply> {
+  async ask(node: string, request: PeerRequest, timeoutMs?: number): Promise<PeerReply> {
     const link = this.links.get(node);
     if (link === undefined) throw new PeerSilent(node);
-    return link.ask(request);
+    return link.ask(request, timeoutMs);
+  }
+
+  /** When any peer last answered anything; steady time. */
+  get heardAt(): number {
+    return Math.max(...[...this.links.values()].map((link) => link.heardAt));
   }
 
   listen(address: string, handler: PeerHandler): Promise<number> {
@@ -111,15 +129,25 @@
   private serve(socket: Socket, handler: PeerHandler): void {
     this.sockets.add(socket);
     socket.setNoDelay(true);
-    // One question at a time per connection: a peer that asks faster than it is answered feels it as backpressure.
+    // So many questions at a time per connection: a slow one holds up no other, and a peer that asks faster than it is
+    // answered feels it as backpressure.
+    let open = 0;
+    let resume: (() => void) | null = null;
     const questions = new Writable({
       objectMode: true,
       write: (frame: Frame, _encoding, done) => {
         if (frame.reply) return done(new Error("an answer to nothing"));
-        handler(frame.body).then(
-          (body) => socket.write(frameBytes({ id: frame.id, reply: true, body }), () => done()),
-          (err: Error) => done(err),
-        );
+        open++;
+        handler(frame.body)
+          .then((body) => void socket.write(frameBytes({ id: frame.id, reply: true, body })))
+          .catch((err: Error) => socket.destroy(err))
+          .finally(() => {
+            open--;
+            resume?.();
+            resume = null;
+          });
+        if (open < MAX_OPEN) done();
+        else resume = done;
       },
     });
     pipeline(socket, new FrameReader(), questions, (err) => {
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -18,6 +18,8 @@
     Accepted accepted = 8;
     Counts counts = 9;
     LoadNote load = 10;
+    Forward forward = 11;
+    Answer answer = 12;
   }
 }
 
@@ -66,6 +68,10 @@
 message HandOver { uint32 share = 1; string to = 2; }
 message Accepted { repeated string hosts = 1; }
 
+// A user's request that a controller cannot answer, as it came; the peer answers itself or with 503.
+message Forward { string method = 1; string path = 2; string body = 3; }
+message Answer { uint32 status = 1; string body = 2; }
+
 message Lookup { uint32 share = 1; string job = 2; }
 message Counts { bool known = 1; uint32 done = 2; uint32 running = 3; }
 `;
@@ -119,10 +125,13 @@
   | { drain: { share: number; hosts: string[] } }
   | { give: { share: number; to: number; hosts: string[] } }
   | { handOver: { share: number; to: string } }
-  | { lookup: { share: number; job: string } };
+  | { lookup: { share: number; job: string } }
+  | { forward: { method: string; path: string; body: string } };
 
 export type PeerReply =
-  { accepted: { hosts: string[] } } | { counts: { known: boolean; done: number; running: number } };
+  | { accepted: { hosts: string[] } }
+  | { counts: { known: boolean; done: number; running: number } }
+  | { answer: { status: number; body: string } };
 
 export type Frame =
   { id: number; reply: false; body: PeerRequest } | { id: number; reply: true; body: PeerReply };
--- /dev/null
+++ b/src/sizing/demand-record.ts
@@ -0,0 +1,46 @@
+/**
+ * A summary as an owner leaves it in the records while it cannot reach the leader: a refused connection between two
+ * controllers must not keep a share from getting machines.
+ */
+import { z } from "zod";
+import type { Demand, Summary } from "../peers/messages.js";
+
+const demandSchema = z.object({
+  cpus: z.number(),
+  gpus: z.number(),
+  memoryGb: z.number(),
+  types: z.array(z.string()),
+  zone: z.string(),
+  spot: z.boolean(),
+  count: z.number(),
+  priority: z.string(),
+}) satisfies z.ZodType<Demand>;
+
+const recordSchema = z.object({
+  token: z.number(),
+  settled: z.boolean(),
+  demand: z.array(demandSchema),
+  /** Machines that have not spoken yet: all others are taken to be at work. */
+  booting: z.array(z.string()),
+});
+
+export function toDemandRecord({ token, settled, demand, machines }: Summary): z.infer<typeof recordSchema> {
+  const booting = machines.filter((m) => m.state === "booting").map((m) => m.host);
+  return { token, settled, demand, booting };
+}
+
+/** Null where the record cannot be read. Nothing is named to be given back by it: it shows no machine idle. */
+export function fromDemandRecord(share: number, value: unknown, hosts: Iterable<string>): Summary | null {
+  const record = recordSchema.safeParse(value).data;
+  if (record === undefined) return null;
+  const booting = new Set(record.booting);
+  const machines = [...hosts].map((host) => ({
+    host,
+    state: booting.has(host) ? ("booting" as const) : ("busy" as const),
+    forMs: 0,
+    emptyReports: 0,
+  }));
+  const { token, settled, demand } = record;
+  const load = { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 };
+  return { share, token, settled, demand, machines, load };
+}
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -33,6 +33,7 @@
   type Move,
   type Order,
 } from "./size.js";
+import { fromDemandRecord } from "./demand-record.js";
 import { Strangers } from "./strangers.js";
 
 const orderSchema = z.object({
@@ -65,6 +66,8 @@
 
 export class Sizer extends Actor<SizerMessage> {
   private readonly summaries: { summary: Summary; at: number }[] = [];
+  /** Summaries left in the records, and when each version was first seen. */
+  private readonly recorded = new Map<number, { version: number; at: number }>();
   private readonly refusals = new Map<string, Refusal>();
   private readonly strangers = new Map<string, Market>();
   private readonly unknown: Strangers;
@@ -181,9 +184,20 @@
   /** Summaries of owners that have gone quiet say nothing any more. */
   private freshSummary(share: number, now: number): Summary | undefined {
     const known = this.summaries[share];
-    return known !== undefined && now - known.at < 4 * this.operator.passSpacingMs
-      ? known.summary
-      : undefined;
+    if (known !== undefined && now - known.at < 4 * this.operator.passSpacingMs) return known.summary;
+    return this.recordedSummary(share, now);
+  }
+
+  /** What the owner has left in the records lately, and since it became the owner. */
+  private recordedSummary(share: number, now: number): Summary | undefined {
+    const entry = this.view.get(keys.demand(share));
+    if (entry === undefined) return undefined;
+    const seen = this.recorded.get(share);
+    if (seen?.version !== entry.version) this.recorded.set(share, { version: entry.version, at: now });
+    else if (now - seen.at >= 8 * this.operator.passSpacingMs) return undefined;
+    const hosts = [...this.fleet.all()].filter(([, m]) => m.share === share).map(([host]) => host);
+    const summary = fromDemandRecord(share, entry.value, hosts);
+    return summary?.token === this.view.get(keys.share(share))?.version ? (summary ?? undefined) : undefined;
   }
 
   /** Reads types and prices now and then, and keeps them in the records, so that no other node need ask. */
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -21,6 +21,8 @@
   /** Changes with each adoption of machines that no order brought: of two such writes, one fails. */
   adoption: `${LIVE}adoption`,
   order: (name: string) => `${LIVE}orders/${name}`,
+  /** What a share is short of, where its owner cannot tell the leader. */
+  demand: (share: number) => `${LIVE}demand/${share}`,
   type: (name: string) => `${LIVE}types/${encodeURIComponent(name)}`,
   ended: (id: string) => `${ROOT}ended/${id}`,
 };
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -87,6 +87,29 @@
   }
 });
 
+test("a node that the state service alone refuses still answers the users whose connections it holds", async () => {
+  const cluster = await Cluster.start(3);
+  try {
+    await cluster.until(() => cluster.request(1, "POST", "/work", submission("req-8")), accepted);
+    for (const node of [0, 2])
+      await cluster.until(
+        () => cluster.request(node, "GET", "/up"),
+        (a) => a.status === 200,
+      );
+    cluster.state.refused.add(1);
+    const submit = () => cluster.request(1, "POST", "/work", submission("req-9", { pieces: 50 }));
+    assert.equal((await cluster.until(submit, accepted)).body.nameId, "req-9");
+    const look = () => cluster.request(1, "GET", "/work/req-8");
+    await cluster.until(look, (a) => a.body.stage === "done");
+    const cancel = () => cluster.request(1, "POST", "/work/req-9/withdraw");
+    assert.equal((await cluster.until(cancel, (a) => a.status === 200)).body.stage, "aborted");
+    assert.equal((await cluster.request(1, "GET", "/up")).status, 200);
+    assert.deepEqual(cluster.cloud.ranTwice, []);
+  } finally {
+    await cluster.stop();
+  }
+});
+
 test("bad input gets a definite status", async () => {
   const cluster = await Cluster.start(1);
   try {
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import type { Demand, MachineCondition, Summary } from "../src/peers/messages.js";
 import { decideSizing, marketKey, type Known } from "../src/sizing/size.js";
+import { fromDemandRecord, toDemandRecord } from "../src/sizing/demand-record.js";
 import { Strangers } from "../src/sizing/strangers.js";
 import { smallType } from "./support/records.js";
 import { number, traceTests, type Step } from "./support/trace.js";
@@ -114,3 +115,32 @@
   strangers.forget("i-1");
   assert.equal(strangers.hear({ ...copy, seq: 42 }, 62_000), false);
 });
+
+test("a summary left in the records says what is short and what is coming, and shows no machine idle", () => {
+  const demand: Demand = {
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 2,
+    types: [],
+    zone: "",
+    spot: true,
+    count: 7,
+    priority: "normal",
+  };
+  const machine = (host: string, state: MachineCondition) => ({
+    host,
+    state,
+    forMs: 60_000,
+    emptyReports: 9,
+  });
+  const load = { up: 2, empty: 1, cpus: 8, used: 4, waiting: 7 };
+  const machines = [machine("i-1", "booting"), machine("i-2", "idle")];
+  const left = toDemandRecord({ share: 3, token: 8, settled: true, load, demand: [demand], machines });
+  const read = fromDemandRecord(3, JSON.parse(JSON.stringify(left)), ["i-1", "i-2"]);
+  assert.deepEqual([read?.share, read?.token, read?.settled, read?.demand], [3, 8, true, [demand]]);
+  assert.deepEqual(
+    read?.machines.map((m) => m.state),
+    ["booting", "busy"],
+  );
+  assert.equal(fromDemandRecord(3, { token: "x" }, []), null);
+});
