--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -1,4 +1,6 @@
 /** What a controller should do about leadership and shares, from what the records say. Pure. */
+import { keys } from "../state/keys.js";
+import type { Guard, Write } from "../wire/index.js";
 import { sameProcess, type Cluster, type Held, type Process } from "./records.js";
 
 export type MembershipAction =
@@ -62,3 +64,50 @@
   }
   return actions;
 }
+
+export interface Claim {
+  guards: Guard[];
+  writes: Write[];
+}
+
+/** An entry among the members: the guard keeps a late copy of an older self's entry from overwriting this one. */
+export function entryOf(me: Process, lease: number, knownVersion: number): Claim {
+  const key = keys.member(me.node);
+  return { guards: [{ key, version: knownVersion }], writes: [{ put: key, value: me, lease }] };
+}
+
+/**
+ * The transaction that carries out an action. Each is on the condition of the versions that the decision was made on,
+ * so that a copy that comes late, from this process or from its old self, changes nothing.
+ */
+export function claimOf(
+  action: Exclude<MembershipAction, { kind: "ask_hand_over" }>,
+  me: Process,
+  lease: number,
+  cluster: Cluster,
+): Claim {
+  switch (action.kind) {
+    case "lead":
+      return {
+        guards: [{ key: keys.leader, version: action.over?.version ?? 0 }],
+        writes: [{ put: keys.leader, value: me, lease }],
+      };
+    case "reclaim": {
+      const key = keys.share(action.share);
+      return { guards: [{ key, version: action.from.version }], writes: [{ put: key, value: me }] };
+    }
+    case "assign": {
+      const { share, from, to } = action;
+      const key = keys.share(share);
+      const guards = [
+        { key: keys.leader, version: cluster.leader?.version ?? 0 },
+        { key, version: from?.version ?? 0 },
+        { key: keys.member(to.node), version: to.version },
+      ];
+      // The old owner's hold must be over *when this is applied*; its own count of the hold ends before that.
+      if (from !== null) guards.push({ key: keys.member(from.node), version: 0 });
+      const value: Process = { node: to.node, incarnation: to.incarnation };
+      return { guards, writes: [{ put: key, value }] };
+    }
+  }
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -10,16 +10,8 @@
 import { StateFailure, type StateClient } from "../state/client.js";
 import type { ReplicaView } from "../state/replica.js";
 import { CLOCK_DRIFT } from "../wire/index.js";
-import { decideMembership, type MembershipAction } from "./decide.js";
-import {
-  readCluster,
-  sameProcess,
-  sameTerm,
-  type Cluster,
-  type Held,
-  type Process,
-  type Raise,
-} from "./records.js";
+import { claimOf, decideMembership, entryOf, type MembershipAction } from "./decide.js";
+import { readCluster, sameProcess, sameTerm, type Cluster, type Process, type Raise } from "./records.js";
 
 export interface MembershipFigures {
   /** How long the state service keeps this process's records without a renewal. */
@@ -188,14 +180,9 @@
     try {
       const sentAt = this.clock();
       const lease = await this.state.grant(this.figures.holdMs);
-      const key = keys.member(this.me.node);
-      const known = await this.state.read(key);
-      // The guard keeps a late copy of an older self's entry from overwriting this one.
-      const commit = await this.state.commit(
-        [{ key, version: known?.version ?? 0 }],
-        [{ put: key, value: this.me, lease }],
-        "ownership",
-      );
+      const known = await this.state.read(keys.member(this.me.node));
+      const { guards, writes } = entryOf(this.me, lease, known?.version ?? 0);
+      const commit = await this.state.commit(guards, writes, "ownership");
       if (!commit.ok) return;
       this.lease = lease;
       this.enteredAt = commit.revision;
@@ -258,43 +245,16 @@
   }
 
   private async performOne(action: MembershipAction): Promise<void> {
-    switch (action.kind) {
-      case "lead": {
-        if (this.lease === null) return;
-        const guards = [{ key: keys.leader, version: action.over?.version ?? 0 }];
-        const write = { put: keys.leader, value: this.me, lease: this.lease };
-        await this.state.commit(guards, [write], "ownership");
-        return;
-      }
-      case "reclaim": {
-        const guards = [{ key: keys.share(action.share), version: action.from.version }];
-        await this.state.commit(guards, [{ put: keys.share(action.share), value: this.me }], "ownership");
-        return;
-      }
-      case "assign":
-        await this.assign(action.share, action.from, action.to);
-        return;
-      case "ask_hand_over":
-        this.lastMove = this.clock();
-        this.hooks.askHandOver(action.owner, action.share, action.to);
-        return;
+    if (action.kind === "ask_hand_over") {
+      this.lastMove = this.clock();
+      return this.hooks.askHandOver(action.owner, action.share, action.to);
     }
-  }
-
-  private async assign(share: number, from: Held | null, to: Held): Promise<void> {
-    const leads = this.cluster.leader;
-    if (leads === null) return;
-    const guards = [
-      { key: keys.leader, version: leads.version },
-      { key: keys.share(share), version: from?.version ?? 0 },
-      { key: keys.member(to.node), version: to.version },
-    ];
-    // The old owner's hold must be over *when this is applied*; its own count of the hold ends before that.
-    if (from !== null) guards.push({ key: keys.member(from.node), version: 0 });
-    const value: Process = { node: to.node, incarnation: to.incarnation };
-    const commit = await this.state.commit(guards, [{ put: keys.share(share), value }], "ownership");
-    if (commit.ok)
-      this.log.info({ share, from: from?.node, to: to.node, token: commit.revision }, "share assigned");
+    if (this.lease === null) return;
+    const { guards, writes } = claimOf(action, this.me, this.lease, this.cluster);
+    const commit = await this.state.commit(guards, writes, "ownership");
+    if (!commit.ok || action.kind !== "assign") return;
+    const { share, from, to } = action;
+    this.log.info({ share, from: from?.node, to: to.node, token: commit.revision }, "share assigned");
   }
 
   /** A worker has seen a higher token than this share's, for example with a machine's former share. */
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -1,9 +1,9 @@
 /** Where waiting tasks go: one round of decisions, within a budget of time. Pure but for the clock it is given. */
 import type { Team } from "../config/settings.js";
 import type { SteadyClock } from "../runtime/clock.js";
-import type { MachineType } from "../wire/index.js";
+import { PRIORITIES, type MachineType } from "../wire/index.js";
 import type { Job, Machine } from "../workers/model.js";
-import { isOverdue, orderByUrgency, type Plan } from "./urgency.js";
+import { expectedRunMs, isOverdue, turnsOf, type Plan, type Turn } from "./urgency.js";
 
 export interface Start {
   job: Job;
@@ -51,6 +51,7 @@
 }
 
 const EPSILON = 1e-9;
+const URGENT = PRIORITIES.indexOf("urgent");
 
 export function fits(free: Amounts, need: Amounts): boolean {
   return (
@@ -60,6 +61,17 @@
   );
 }
 
+/** How many such tasks an empty machine of a type holds. */
+export function slotsOn(demand: Amounts, type: MachineType): number {
+  const per = (have: number, need: number): number => (need > 0 ? Math.floor(have / need + 1e-9) : Infinity);
+  const slots = Math.min(
+    per(type.cpus, demand.cpus),
+    per(type.gpus, demand.gpus),
+    per(type.memoryGb, demand.memoryGb),
+  );
+  return Number.isFinite(slots) ? slots : 1;
+}
+
 /** How many tasks of a job are in each zone, all counted that are not proven gone. */
 export function zonesOf(job: Job): Map<string, number> {
   const zones = new Map<string, number>();
@@ -123,10 +135,10 @@
 }
 
 /** The waiting jobs that may start, in the order in which they are served. */
-export function queueOf(input: RoundInput): Job[] {
+export function queueOf(input: RoundInput): Turn[] {
   const waiting: Job[] = [];
   for (const job of input.jobs) if (job.waiting > 0 && startable(job, input)) waiting.push(job);
-  return orderByUrgency(waiting, input);
+  return turnsOf(waiting, input);
 }
 
 function makeOffer(input: RoundInput, machines: Iterable<Machine>): Offer {
@@ -142,15 +154,15 @@
 }
 
 /** A whole round: all that waits against all that is open. */
-export function placeRound(input: RoundInput, queue: Job[], clock: SteadyClock, deadline: number): Round {
+export function placeRound(input: RoundInput, queue: Turn[], clock: SteadyClock, deadline: number): Round {
   const offer = makeOffer(input, input.machines);
   const blocked = new Set<string>();
-  const found = input.resumeAt === null ? -1 : queue.findIndex((job) => job.spec.id === input.resumeAt);
+  const found = input.resumeAt === null ? -1 : queue.findIndex(({ job }) => job.spec.id === input.resumeAt);
   const first = Math.max(0, found);
   // What the jobs before the resumed one hold back stays held.
   if (first > 0) for (const [machine, job] of input.kept) offer.kept.set(machine, job);
   for (let i = first; i < queue.length; i++) {
-    const job = queue[i]!;
+    const { job } = queue[i]!;
     if (i > first && clock() > deadline)
       return { starts: offer.starts, resumeAt: job.spec.id, kept: offer.kept, steps: offer.steps };
     serve(job, offer, blocked);
@@ -163,15 +175,55 @@
  * The room of one machine that has just spoken, offered to the queue as it was last ordered: a report costs what it
  * changes, and not a look at the whole share.
  */
-export function placeOn(machine: Machine, queue: Job[], input: RoundInput): Round {
+export function placeOn(
+  machine: Machine,
+  queue: Turn[],
+  input: RoundInput,
+  /** Whether so many machines have the job's image that its tasks need not go to others. */
+  atHome: (job: Job) => boolean,
+): Round {
   const offer = makeOffer(input, [machine]);
   for (const [held, job] of input.kept) offer.kept.set(held, job);
   const blocked = new Set<string>();
   if (offer.rooms.length > 0)
-    for (const job of queue) if (job.waiting > 0 && startable(job, input)) serve(job, offer, blocked);
+    for (const job of nearFirst(machine, queue, input, atHome)) serve(job, offer, blocked);
   return { starts: offer.starts, resumeAt: null, kept: offer.kept, steps: offer.steps };
 }
 
+/**
+ * The queue as this machine is to serve it. Fetching an image holds a task's processors and gains nothing, so that of
+ * two jobs that can wait about alike the one whose image is here goes first, if the other has machines enough with its
+ * own. About alike: of one rank, and within a task's run of each other.
+ */
+function* nearFirst(
+  machine: Machine,
+  queue: Turn[],
+  input: RoundInput,
+  atHome: (job: Job) => boolean,
+): Generator<Job> {
+  let later: Turn[] = [];
+  for (const turn of queue) {
+    const { job } = turn;
+    if (job.waiting === 0 || !startable(job, input)) continue;
+    const head = later[0];
+    if (head !== undefined && !aboutAlike(head, turn, input)) {
+      for (const put of later) yield put.job;
+      later = [];
+    }
+    if (!machine.images.has(job.spec.image) && !isOverdue(job, input) && atHome(job)) later.push(turn);
+    else yield job;
+  }
+  for (const put of later) yield put.job;
+}
+
+function aboutAlike(head: Turn, turn: Turn, input: RoundInput): boolean {
+  return (
+    head.rank === turn.rank &&
+    head.behind === turn.behind &&
+    turn.start - head.start <= expectedRunMs(head.job, input)
+  );
+}
+
 function openRooms(input: RoundInput, machines: Iterable<Machine>): Room[] {
   const rooms: Room[] = [];
   for (const machine of machines) {
@@ -279,12 +331,13 @@
 
 /**
  * The cheapest kind first, then one that has the image, then the fullest: dear and empty machines are left to run
- * dry and be given back.
+ * dry and be given back. Urgent work cannot wait for an image, and goes where it is first.
  */
 function scoreOf(job: Job, room: Room): number {
+  const image = PRIORITIES.indexOf(job.spec.priority) >= URGENT ? 4 : 1;
   return (
     (room.machine.record.spot ? 2 : 0) +
-    (room.machine.images.has(job.spec.image) ? 1 : 0) -
+    (room.machine.images.has(job.spec.image) ? image : 0) -
     room.cpus / (1 + (room.type.cpus || 1))
   );
 }
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -25,11 +25,12 @@
 import { machineOf, readGroup, type MachineRecord } from "../workers/records.js";
 import { applyReport, isNewer, noteAnswer, releaseAll } from "../workers/reports.js";
 import { uncovered } from "./forecast.js";
-import { orderByUrgency } from "./urgency.js";
+import { orderByUrgency, type Turn } from "./urgency.js";
 import { choosePreemptions } from "./preempt.js";
 import {
   placeOn,
   placeRound,
+  slotsOn,
   queueOf,
   startable,
   teamUsage,
@@ -79,7 +80,9 @@
   private fresh: Job[] = [];
   private roomy = false;
   /** The waiting jobs as last ordered, and the machines held back for overdue ones. */
-  private queue: Job[] = [];
+  private queue: Turn[] = [];
+  /** How many usable machines have an image, as of the last whole round. */
+  private imageCounts = new Map<string, number>();
   private kept = new Map<Machine, Job>();
   /** Machines looked at in all rounds: what placing has cost so far, for tests. */
   placingSteps = 0;
@@ -315,6 +318,7 @@
   place(token: number, now: number, clock: SteadyClock, deadline: number): number {
     const input = this.roundInput(now);
     this.queue = queueOf(input);
+    this.countImages();
     this.fresh = [];
     const round = placeRound(input, this.queue, clock, deadline);
     this.resumeAt = round.resumeAt;
@@ -329,7 +333,23 @@
     const machine = this.machines.get(host);
     if (machine === undefined || !machine.usable) return 0;
     // Jobs accepted since the last whole round are served from the next one on, in their order.
-    return this.take(placeOn(machine, this.queue, this.roundInput(now)), token, now);
+    const atHome = (job: Job): boolean => this.atHome(job, machine);
+    return this.take(placeOn(machine, this.queue, this.roundInput(now), atHome), token, now);
+  }
+
+  /** Whether the machines that have a job's image could hold all that waits of it at once. */
+  private atHome({ spec, waiting }: Job, machine: Machine): boolean {
+    const type = this.types().get(machine.record.type);
+    const slots = type === undefined ? 0 : slotsOn(spec, type);
+    return slots > 0 && (this.imageCounts.get(spec.image) ?? 0) * slots >= waiting;
+  }
+
+  private countImages(): void {
+    this.imageCounts = new Map();
+    for (const machine of this.machines.values())
+      if (machine.usable)
+        for (const image of machine.images)
+          this.imageCounts.set(image, (this.imageCounts.get(image) ?? 0) + 1);
   }
 
   /**
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -124,23 +124,35 @@
   return age > BEGIN_WITHIN_S * 1000 * (job.begun ? OVERDUE_TO_GO_ON : OVERDUE_TO_BEGIN);
 }
 
+/** A waiting job and what its place in the queue comes from. */
+export interface Turn {
+  job: Job;
+  /** When it was accepted if it is overdue; Infinity if not. */
+  overdueSince: number;
+  rank: number;
+  /** 1 for a job left behind because its team's limit cannot hold all in time. */
+  behind: number;
+  /** The latest start for its aims. */
+  start: number;
+}
+
 /**
  * What is overdue first, the oldest before the others; then urgent and critical work, then what can be in time, by
  * how long it can wait; what cannot comes last.
  */
-export function orderByUrgency(jobs: Job[], plan: Plan): Job[] {
+export function turnsOf(jobs: Job[], plan: Plan): Turn[] {
   // Normal and lower work shares one rank, below urgent.
   const shared = PRIORITIES.indexOf("normal");
   const windows = new Map(jobs.map((job) => [job, windowOf(job, plan)]));
   const behind = leftBehind(jobs, windows, plan);
-  const keyed = jobs.map((job) => ({
+  const turns = jobs.map((job) => ({
     job,
     overdueSince: isOverdue(job, plan) ? job.acceptedAt : Infinity,
     rank: Math.max(shared, PRIORITIES.indexOf(job.spec.priority)),
     behind: behind.has(job) ? 1 : 0,
     start: windows.get(job)!.start,
   }));
-  keyed.sort(
+  turns.sort(
     (a, b) =>
       (a.overdueSince === b.overdueSince ? 0 : a.overdueSince - b.overdueSince) ||
       b.rank - a.rank ||
@@ -148,5 +160,9 @@
       a.start - b.start ||
       (a.job.spec.id < b.job.spec.id ? -1 : 1),
   );
-  return keyed.map((k) => k.job);
+  return turns;
+}
+
+export function orderByUrgency(jobs: Job[], plan: Plan): Job[] {
+  return turnsOf(jobs, plan).map((turn) => turn.job);
 }
--- a/src/sizing/size.ts
+++ b/src/sizing/size.ts
@@ -2,6 +2,7 @@
 import type { OperatorSettings } from "../config/operator.js";
 import type { Demand, MachineCondition, MachineSummary, Summary } from "../peers/messages.js";
 import { MAX_RENTAL, PRIORITIES, type MachineType, type Priority } from "../wire/index.js";
+import { slotsOn } from "../placement/place.js";
 import type { MachineRecord } from "../workers/records.js";
 
 export interface Known extends Omit<MachineRecord, "group"> {
@@ -61,16 +62,6 @@
   return `${market.type}/${market.zone}/${market.spot ? "spot" : "ordinary"}`;
 }
 
-export function slotsOn(demand: Pick<Demand, "cpus" | "gpus" | "memoryGb">, type: MachineType): number {
-  const per = (have: number, need: number): number => (need > 0 ? Math.floor(have / need + 1e-9) : Infinity);
-  const slots = Math.min(
-    per(type.cpus, demand.cpus),
-    per(type.gpus, demand.gpus),
-    per(type.memoryGb, demand.memoryGb),
-  );
-  return Number.isFinite(slots) ? slots : 1;
-}
-
 function suits(demand: Demand, market: Market): boolean {
   return (
     (demand.types.length === 0 || demand.types.includes(market.type)) &&
