--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -110,6 +110,41 @@
   }
 });
 
+test("late copies, a machine that hears nothing and each controller refused in turn: all ends, and nothing runs twice", async () => {
+  const cluster = await Cluster.start(3);
+  try {
+    cluster.workers.copies = true;
+    const done = (id: string, node: number): Promise<unknown> =>
+      cluster.until(
+        () => cluster.request(node, "GET", `/work/${id}`),
+        (a) => a.body.stage === "done",
+      );
+    const submit = (id: string, node: number): Promise<unknown> =>
+      cluster.until(() => cluster.request(node, "POST", "/work", submission(id, { pieces: 60 })), accepted);
+    await submit("req-10", 0);
+    await cluster.until(
+      () => cluster.request(0, "GET", "/work/req-10"),
+      (a) => a.body.stage === "running",
+    );
+    const busy = [...cluster.cloud.machines.values()].find((m) => m.running.size > 0);
+    if (busy) busy.deaf = true;
+    for (const node of [0, 1, 2]) {
+      cluster.state.refused.add(node);
+      const other = (node + 1) % 3;
+      await submit(`req-1${node + 1}`, other);
+      // The other one is back within a fraction of a second, in the middle of the take-over.
+      await cluster.kill(cluster.nodes[other]!.node);
+      cluster.launch(cluster.nodes[other]!.node);
+      await done(`req-1${node + 1}`, other);
+      cluster.state.refused.delete(node);
+    }
+    await done("req-10", 0);
+    assert.deepEqual(cluster.cloud.ranTwice, []);
+  } finally {
+    await cluster.stop();
+  }
+});
+
 test("bad input gets a definite status", async () => {
   const cluster = await Cluster.start(1);
   try {
