--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -110,6 +110,22 @@
   }
 });
 
+test("a node cut off from the state service and all peers is not up, and is again once it can follow the records", async () => {
+  const cluster = await Cluster.start(2);
+  try {
+    const up = () => cluster.request(0, "GET", "/up");
+    await cluster.until(up, (a) => a.status === 200);
+    await cluster.kill("node-1");
+    cluster.state.refused.add(0);
+    await cluster.until(up, (a) => a.status === 503);
+    assert.equal((await cluster.request(0, "GET", "/work/req-1")).status, 503);
+    cluster.state.refused.delete(0);
+    await cluster.until(up, (a) => a.status === 200);
+  } finally {
+    await cluster.stop();
+  }
+});
+
 test("late copies, a machine that hears nothing and each controller refused in turn: all ends, and nothing runs twice", async () => {
   const cluster = await Cluster.start(3);
   try {
