Rent where spread and together jobs may run; refuse those that never can

Cause: what waits of a spread job was rented for in the cheapest zone however much of the job was there already, and room there counted as cover for it; what waits of a job that is together likewise. Both could wait for ever. A spread job of more than one task that must be in one zone, by its own word or for want of another, was accepted and waited until cancelled: it gets 422 now, as users ask of jobs that can't run.

Tests: placement (fails without the zones in the forecast), bad input (fails without the check). Names are taken from the platform's crypto object, so that runs in simulated time repeat.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,5 +1,4 @@
 /** One controller: makes the actors and connects them. */
-import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { pipeline } from "node:stream";
@@ -165,7 +164,7 @@
       REPORT_TIMEOUT_S * 1000,
     );
     this.membership = new Membership(
-      { node: settings.node, incarnation: randomUUID() },
+      { node: settings.node, incarnation: crypto.randomUUID() },
       settings.controllers,
       settings.controllers,
       figures,
--- a/src/jobs/admission.ts
+++ b/src/jobs/admission.ts
@@ -20,11 +20,19 @@
   if (team === undefined) return { kind: "impossible", reason: `unknown team ${spec.team}` };
   if ((team.cpusMax > 0 && spec.cpus > team.cpusMax) || (team.gpusMax > 0 && spec.gpus > team.gpusMax))
     return { kind: "impossible", reason: `one task is over the limit of team ${team.name}` };
-  const fits = types.some(
+  const fitting = types.filter(
     (type) =>
       (spec.types === null || spec.types.includes(type.name)) &&
       (spec.zone === null || type.zones.includes(spec.zone)) &&
       fitsType(spec, type),
   );
-  return fits ? { kind: "ok" } : { kind: "impossible", reason: "a task fits no allowed machine type" };
+  if (fitting.length === 0) return { kind: "impossible", reason: "a task fits no allowed machine type" };
+  // Guards against a job that waits for ever: half of its tasks, rounded up, would be all that may run.
+  const zones = new Set(fitting.flatMap((type) => (spec.zone === null ? type.zones : [spec.zone])));
+  if (spec.spread && spec.tasks > 1 && (spec.oneZone || zones.size < 2))
+    return {
+      kind: "impossible",
+      reason: "no zone may hold more than half of its tasks, and one would have to",
+    };
+  return { kind: "ok" };
 }
--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -4,7 +4,7 @@
  */
 import type { MachineType } from "../wire/index.js";
 import type { Job, Machine, Placement } from "../workers/model.js";
-import { allows, fits, type Amounts } from "./place.js";
+import { allows, countZone, fits, zoneAllowed, zonesOf, type Amounts } from "./place.js";
 import { expectedRunMs, fetchMs, latestStart, orderByUrgency, rentMs, type Plan } from "./urgency.js";
 
 export interface ForecastInput extends Plan {
@@ -40,15 +40,23 @@
   return Math.max(slack * TRUST, rent);
 }
 
-/** How many tasks of each job will not find room in time. */
-export function uncovered(input: ForecastInput): Map<Job, number> {
-  const rest = new Map<Job, number>();
+/** Tasks of a job that will not find room in time, and the only zone where a machine for them is of use, if any. */
+export interface Uncovered {
+  job: Job;
+  count: number;
+  zone: string | null;
+}
+
+export function uncovered(input: ForecastInput): Uncovered[] {
+  const rest: Uncovered[] = [];
   if (input.waiting.size === 0) return rest;
   const rooms = input.machines.filter((m) => m.usable).flatMap((m) => roomsOf(m, input));
   for (const job of orderByUrgency([...input.waiting.keys()], input)) {
     const patience = patienceMs(job, input);
     const run = expectedRunMs(job, input);
     let count = input.waiting.get(job)!;
+    const { oneZone, spread } = job.spec;
+    const zones = oneZone || spread ? zonesOf(job) : null;
     const open: { room: Room; at: number }[] = [];
     const offer = (room: Room): void => {
       const at = firstFit(room.pieces, job, patience);
@@ -56,15 +64,46 @@
     };
     for (const room of rooms) if (allows(job, room.machine)) offer(room);
     // A task changes the room that it takes and no other, so that only this one is looked at again.
-    for (let best = open.pop(); count > 0 && best !== undefined; count--, best = open.pop()) {
-      take(best.room.pieces, job, best.at, best.at + run);
+    for (let best = open.pop(); count > 0 && best !== undefined; best = open.pop()) {
+      const { machine, pieces } = best.room;
+      if (zones !== null && !zoneAllowed(job, machine.record.zone, zones)) continue;
+      if (zones !== null) countZone(zones, machine);
+      take(pieces, job, best.at, best.at + run);
       offer(best.room);
+      count--;
     }
-    if (count > 0) rest.set(job, count);
+    if (count > 0) rest.push(...byZone(job, count, zones, input));
   }
   return rest;
 }
 
+/**
+ * Guards against renting, again and again, where no more of the job may run: a job that must be in one zone needs
+ * machines where its tasks are, and one that must be spread needs them wherever half of it is not yet.
+ */
+function byZone(
+  job: Job,
+  count: number,
+  zones: Map<string, number> | null,
+  { types }: ForecastInput,
+): Uncovered[] {
+  const { spec } = job;
+  const [bound] = zones?.keys() ?? [];
+  if (zones === null || (spec.oneZone && bound === undefined)) return [{ job, count, zone: spec.zone }];
+  if (spec.oneZone) return [{ job, count, zone: bound! }];
+  const offered = new Set<string>();
+  for (const type of types.values())
+    if (spec.types === null || spec.types.includes(type.name)) type.zones.forEach((z) => offered.add(z));
+  const parts: Uncovered[] = [];
+  for (const zone of offered) {
+    const part = Math.min(count, Math.ceil(spec.tasks / 2) - (zones.get(zone) ?? 0));
+    if (part <= 0) continue;
+    parts.push({ job, count: part, zone });
+    count -= part;
+  }
+  return parts;
+}
+
 interface Room {
   machine: Machine;
   pieces: Piece[];
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -4,7 +4,6 @@
 import type { Logger } from "../runtime/log.js";
 import type { Summary } from "../peers/messages.js";
 import { StateFailure, type StateClient, type WriteKind } from "../state/client.js";
-import { randomUUID } from "node:crypto";
 import { keys } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 import { jittered, sleep } from "../runtime/wait.js";
@@ -253,7 +252,7 @@
   }
 
   private toGive(hosts: string[], to: number): FleetChange {
-    return this.fleet.pass(hosts, to, randomUUID, this.state.txnOps);
+    return this.fleet.pass(hosts, to, () => crypto.randomUUID(), this.state.txnOps);
   }
 
   /** Marks machines durably before anyone acts on their leaving: a later owner must not place on them either. */
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -24,7 +24,7 @@
 import { attach, Job, Machine, type Placement } from "../workers/model.js";
 import { machineOf, readGroup, type MachineRecord } from "../workers/records.js";
 import { applyReport, isNewer, noteAnswer, releaseAll } from "../workers/reports.js";
-import { uncovered } from "./forecast.js";
+import { uncovered, type Uncovered } from "./forecast.js";
 import { orderByUrgency, type Turn } from "./urgency.js";
 import { choosePreemptions } from "./preempt.js";
 import {
@@ -644,8 +644,7 @@
       }
       if (count > 0) waiting.set(job, count);
     }
-    const rest = uncovered({ ...input, waiting });
-    return groupDemand(rest);
+    return groupDemand(uncovered({ ...input, waiting }));
   }
 
   /** Learns how estimates of a class compare with what its tasks really take. */
@@ -659,11 +658,11 @@
   }
 }
 
-function groupDemand(rest: Map<Job, number>): Demand[] {
+function groupDemand(rest: Uncovered[]): Demand[] {
   const groups = new Map<string, Demand>();
-  for (const [{ spec }, count] of rest) {
-    const { cpus, gpus, memoryGb, spot, priority } = spec;
-    const group = { cpus, gpus, memoryGb, types: spec.types ?? [], zone: spec.zone ?? "", spot, priority };
+  for (const { job, count, zone } of rest) {
+    const { cpus, gpus, memoryGb, spot, priority, types } = job.spec;
+    const group = { cpus, gpus, memoryGb, types: types ?? [], zone: zone ?? "", spot, priority };
     const key = JSON.stringify(group);
     const known = groups.get(key);
     if (known) known.count += count;
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -2,7 +2,6 @@
  * The actor that sizes while this process leads: it collects the owners' summaries and makes passes, each with at
  * most one call to the cloud. An order is recorded before it is sent, and its machines before they count.
  */
-import { randomUUID } from "node:crypto";
 import * as z from "zod";
 import { CloudFailure, type CloudClient } from "../cloud/client.js";
 import type { OperatorSettings } from "../config/operator.js";
@@ -221,7 +220,7 @@
   private async place(guard: Guard, order: Order): Promise<void> {
     const record: OrderRecord = { ...order, since: Date.now() };
     // A name must never come twice, from any process.
-    const name = `fp-${randomUUID()}`;
+    const name = `fp-${crypto.randomUUID()}`;
     const commit = await this.state.commit([guard], [{ put: keys.order(name), value: record }], "ownership");
     if (!commit.ok) return;
     this.log.info({ order: name, ...order }, "ordering");
@@ -266,7 +265,7 @@
     for (let i = 0; i < hosts.length; i += size) {
       const machines = Object.fromEntries(hosts.slice(i, i + size).map((host) => [host, "booting" as const]));
       const value: MachineGroup = { ...of, since: Date.now(), machines };
-      writes.push({ put: keys.machines(randomUUID()), value });
+      writes.push({ put: keys.machines(crypto.randomUUID()), value });
     }
     return writes;
   }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -18,8 +18,8 @@
   return new Job(jobSpec(id, over), acceptedAt, 1);
 }
 
-function machine(host: string, spot = false): Machine {
-  const of = { group: "g", share: 0, type: "small", zone: "north", spot, since: 0 };
+function machine(host: string, spot = false, zone = "north"): Machine {
+  const of = { group: "g", share: 0, type: "small", zone, spot, since: 0 };
   const record = { ...of, drain: false, up: true };
   const made = new Machine(host, record, 0);
   made.heard = true;
@@ -98,7 +98,29 @@
   [50_000, 50_000, 10_000, 10_000].forEach((ago, i) => run(host, running, i, NOW - ago));
   const queued = job("req-2", { tasks: 5, deadlineS: 65, estimateS: 60 });
   const rest = uncovered({ ...input([running, queued], [host]), waiting: new Map([[queued, 5]]) });
-  assert.equal(rest.get(queued), 3);
+  assert.deepEqual(rest, [{ job: queued, count: 3, zone: null }]);
+});
+
+test("what must be spread or together is rented for where it may run", () => {
+  const waiting = (one: Job, hosts: Machine[]) => {
+    const rest = uncovered({ ...input([one], hosts), waiting: new Map([[one, one.waiting]]) });
+    return rest.map(({ count, zone }) => [count, zone]);
+  };
+  const spread = job("req-1", { tasks: 5, spread: true });
+  assert.deepEqual(waiting(spread, []), [
+    [3, "north"],
+    [2, "south"],
+  ]);
+  // Room in a zone where half of it already is counts for nothing.
+  const north = machine("i-1");
+  run(north, spread, 0);
+  run(north, spread, 1);
+  run(north, spread, 2);
+  assert.deepEqual(waiting(spread, [north]), [[2, "south"]]);
+  const together = job("req-2", { tasks: 6, oneZone: true });
+  const south = machine("i-2", false, "south");
+  run(south, together, 0);
+  assert.deepEqual(waiting(together, [machine("i-3"), south]), [[2, "south"]]);
 });
 
 test("urgent work stops lower work that saves, and no more of it than it needs", () => {
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -251,6 +251,10 @@
     [submission("req-7", { vcpus: 5 }), 422],
     [submission("req-7", { breeds: ["huge"] }), 422],
     [submission("req-7", { crew: "capped", vcpus: 4.5 }), 422],
+    [submission("req-7", { together: true, spread: true, pieces: 2 }), 422],
+    [submission("req-7", { bank: "north", spread: true, pieces: 2 }), 422],
+    [submission("req-7", { guessS: undefined }), 400],
+    [submission("req-7", { loaners: null }), 400],
     [submission("req-6", { crew: "strangers" }), 200],
   ];
   for (const [body, status] of statuses)
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -26,6 +26,13 @@
 const POLL_MS = 5000;
 const RETRY_MS = 1000;
 
+/** Once troubles are over nobody waits so long beside a machine that fits and has room. */
+const NEGLECTED_MS = 90_000;
+/** Once troubles are over every question is answered within this. */
+const FORGOTTEN_MS = 75_000;
+/** What a machine of the stand-in cloud holds. */
+const MACHINE_CPUS = 4;
+
 /** One life of a controller: what it began goes nowhere once it is over. */
 interface Life {
   alive: boolean;
@@ -47,6 +54,8 @@
   done = false;
   /** When a question was last answered. */
   answeredAt = -Infinity;
+  /** Since when a machine has had room for one of its tasks that waits. */
+  besideRoomSince: number | null = null;
   readonly completed = new Set<string>();
 
   constructor(
@@ -91,6 +100,8 @@
   /** The part of the transactions that get no answer and are carried out seconds later. */
   lateWrites = 0;
   stateLatencyMs = 4;
+  /** Set once all troubles are over: from now on nobody may be neglected. */
+  calm = false;
   private readonly luck: ReturnType<typeof xoroshiro128plus>;
 
   private constructor(
@@ -103,6 +114,8 @@
     this.luck = xoroshiro128plus(seed);
     mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"], now: 1_700_000_000_000 });
     mock.method(Math, "random", () => this.chance());
+    // Names that never come again are part of the luck: the order of records hangs on them.
+    mock.method(crypto, "randomUUID", () => `${this.pick(2 ** 31)}-${this.pick(2 ** 31)}`);
     this.nodes = Array.from({ length: count }, (_, i) => new SimulatedNode(`node-${i}`, i));
     this.settings = this.settingsOf(this.nodes[0]!);
     const { reportMs, leaseMs } = this.settings.workers;
@@ -154,7 +167,9 @@
       mock.timers.tick(STEP_MS);
       this.now += STEP_MS;
       await settled();
-      if (this.now % (50 * STEP_MS) === 0) this.watchCancelled();
+      if (this.now % (50 * STEP_MS) !== 0) continue;
+      this.watchCancelled();
+      if (this.calm) this.watchNeglected();
     }
   }
 
@@ -339,21 +354,28 @@
     const onAnother = [...this.cloud.machines.values()].some((w) => w !== worker && w.running.has(piece));
     if (onAnother) this.note(`ran_twice: ${piece}`);
     this.checkQuota(String(job.body.crew));
-    this.checkPlace(job, piece, worker);
+    const wrong = this.misplaced(job, piece, worker);
+    if (wrong !== null) this.note(`wrong_place: ${piece} ${wrong}`);
   }
 
-  private checkQuota(team: string): void {
-    const limit = this.settings.teams.find((t) => t.name === team)?.cpusMax ?? 0;
+  private usedBy(team: string): number {
     let used = 0;
     for (const worker of this.cloud.machines.values())
       for (const piece of worker.running) {
-        const job = this.jobOf(piece)!;
-        if (job.body.crew === team) used += Number(job.body.vcpus);
+        const { body } = this.jobOf(piece)!;
+        if (body.crew === team) used += Number(body.vcpus);
       }
+    return used;
+  }
+
+  private checkQuota(team: string): void {
+    const limit = this.settings.teams.find((t) => t.name === team)?.cpusMax ?? 0;
+    const used = this.usedBy(team);
     if (limit > 0 && used > limit + 1e-9) this.note(`quota: ${team} uses ${used} of ${limit}`);
   }
 
-  private checkPlace(job: UserJob, piece: string, worker: WorkerStandIn): void {
+  /** Why a task may not be where it is, given the job's other tasks. */
+  private misplaced(job: UserJob, piece: string, worker: WorkerStandIn): string | null {
     const { bank, together, spread, loaners, pieces } = job.body;
     const zones = new Map<string, number>();
     for (const { running, zone } of this.cloud.machines.values())
@@ -361,10 +383,11 @@
         if (other !== piece && this.jobOf(other) === job) zones.set(zone, (zones.get(zone) ?? 0) + 1);
     const elsewhere = [...zones.keys()].some((zone) => zone !== worker.zone);
     const crowded = (zones.get(worker.zone) ?? 0) + 1 > Math.ceil(Number(pieces) / 2);
-    if (bank && bank !== worker.zone) this.note(`wrong_place: ${piece} outside its zone`);
-    if (worker.spot && loaners === false) this.note(`wrong_place: ${piece} on a cheap machine`);
-    if (together === true && elsewhere) this.note(`wrong_place: ${piece} apart from its job`);
-    if (spread === true && crowded) this.note(`wrong_place: ${piece} where half of its job is`);
+    if (bank && bank !== worker.zone) return "outside its zone";
+    if (worker.spot && loaners === false) return "on a cheap machine";
+    if (together === true && elsewhere) return "apart from its job";
+    if (spread === true && crowded) return "where half of its job is";
+    return null;
   }
 
   private finished(piece: string): void {
@@ -381,6 +404,40 @@
       }
   }
 
+  /** Nobody waits for long beside room, and every question is answered now and then. */
+  private watchNeglected(): void {
+    const running = new Set([...this.cloud.machines.values()].flatMap((worker) => [...worker.running]));
+    for (const job of this.jobs.values()) {
+      if (!job.accepted || job.over) continue;
+      const tasks = Array.from({ length: Number(job.body.pieces) }, (_, i) => `${job.id}/${i}`);
+      const waits = tasks.some((task) => !running.has(task) && !job.completed.has(task));
+      const room =
+        waits &&
+        this.underLimit(job) &&
+        [...this.cloud.machines.values()].some((worker) => this.hasRoom(worker, job));
+      if (!room) job.besideRoomSince = null;
+      else job.besideRoomSince ??= this.now;
+      if (job.besideRoomSince !== null && this.now - job.besideRoomSince > NEGLECTED_MS)
+        this.note(`neglected: ${job.id}`);
+      if (this.now - job.answeredAt > FORGOTTEN_MS) this.note(`forgotten: ${job.id} is not told of`);
+    }
+  }
+
+  private underLimit(job: UserJob): boolean {
+    const limit = this.settings.teams.find((t) => t.name === job.body.crew)?.cpusMax ?? 0;
+    return limit === 0 || this.usedBy(String(job.body.crew)) + Number(job.body.vcpus) <= limit;
+  }
+
+  private hasRoom(worker: WorkerStandIn, job: UserJob): boolean {
+    let used = 0;
+    for (const piece of worker.running) used += Number(this.jobOf(piece)!.body.vcpus);
+    return (
+      worker.wellSince !== null &&
+      used + Number(job.body.vcpus) <= MACHINE_CPUS &&
+      this.misplaced(job, "", worker) === null
+    );
+  }
+
   private note(what: string): void {
     if (!this.broken.includes(what)) this.broken.push(what);
   }
