Lend what is kept for an overdue job to others in turns, and keep none once it runs

Room is kept for a minute at a time now, and only for a job of which nothing runs, since its own tasks' room goes to it first.

--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -3,7 +3,7 @@
 import type { SteadyClock } from "../runtime/clock.js";
 import { PRIORITIES, type MachineType } from "../wire/index.js";
 import type { Job, Machine } from "../workers/model.js";
-import { expectedRunMs, isOverdue, turnsOf, type Plan, type Turn } from "./urgency.js";
+import { expectedRunMs, isOverdue, keepsRoom, turnsOf, type Plan, type Turn } from "./urgency.js";
 
 export interface Start {
   job: Job;
@@ -166,7 +166,7 @@
     if (i > first && clock() > deadline)
       return { starts: offer.starts, resumeAt: job.spec.id, kept: offer.kept, steps: offer.steps };
     serve(job, offer, blocked);
-    if (isOverdue(job, input)) holdBack(job, offer);
+    if (keepsRoom(job, input)) holdBack(job, offer);
   }
   return { starts: offer.starts, resumeAt: null, kept: offer.kept, steps: offer.steps };
 }
@@ -252,7 +252,7 @@
   const team = offer.input.teams.find((t) => t.name === name);
   const used = offer.usage.get(name) ?? { cpus: 0, gpus: 0 };
   placeJob(job, offer, team, used);
-  if (isOverdue(job, offer.input) && !underLimit(team, used, offer.unseen, job.spec)) blocked.add(name);
+  if (keepsRoom(job, offer.input) && !underLimit(team, used, offer.unseen, job.spec)) blocked.add(name);
 }
 
 /**
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -1,6 +1,6 @@
 /** How long a job may wait: the latest time at which its tasks should start for its aims to be met. Pure. */
 import type { Objective, Team } from "../config/settings.js";
-import { BEGIN_WITHIN_S, PRIORITIES, type MachineType } from "../wire/index.js";
+import { BEGIN_WITHIN_S, BESIDE_ROOM_S, PRIORITIES, type MachineType } from "../wire/index.js";
 import type { Job } from "../workers/model.js";
 
 export interface Plan {
@@ -115,13 +115,32 @@
 /** Once begun, a job that still waits after so many times that time goes before all others as well. */
 const OVERDUE_TO_GO_ON = 1.5;
 
+/** How much longer a job has waited than anything but its age may make it wait; negative before that. */
+function overdueMs(job: Job, plan: Pick<Plan, "wallNow">): number {
+  const age = plan.wallNow - job.acceptedAt;
+  return age - BEGIN_WITHIN_S * 1000 * (job.begun ? OVERDUE_TO_GO_ON : OVERDUE_TO_BEGIN);
+}
+
 /**
  * Guards against starving: of all the reasons for which a job may be passed by (rank, lateness, its size), none
  * counts past a part of the time in which users expect every job to begin.
  */
 export function isOverdue(job: Job, plan: Pick<Plan, "wallNow">): boolean {
-  const age = plan.wallNow - job.acceptedAt;
-  return age > BEGIN_WITHIN_S * 1000 * (job.begun ? OVERDUE_TO_GO_ON : OVERDUE_TO_BEGIN);
+  return overdueMs(job, plan) > 0;
+}
+
+/** What is kept free for an overdue job is lent to others in turns of this part of the time nobody waits beside room. */
+const TURN = 2 / 3;
+
+/**
+ * Whether room is kept free for a job until enough of it comes together. Only for one of which nothing runs: it goes
+ * first for whatever its own tasks leave. And only for a while at a time, which guards against those behind it
+ * waiting beside room for too long.
+ */
+export function keepsRoom(job: Job, plan: Pick<Plan, "wallNow">): boolean {
+  const overdue = overdueMs(job, plan);
+  if (overdue <= 0 || job.active.size > 0) return false;
+  return Math.floor(overdue / (TURN * BESIDE_ROOM_S * 1000)) % 2 === 0;
 }
 
 /** A waiting job and what its place in the queue comes from. */
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -40,6 +40,8 @@
 
 /** Every job begins within this time after it was accepted, whatever else is asked for. */
 export const BEGIN_WITHIN_S = 240;
+/** No job is left waiting for so long while a machine that fits has room and its team is under its limit. */
+export const BESIDE_ROOM_S = 90;
 export const MAX_TASKS = 100_000;
 export const MAX_BODY_BYTES = 64 * 1024;
 
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -19,7 +19,7 @@
       let met: string[] | null = null;
       void meet(world, 10, 90_000).then((names) => (met = names));
       await work(world, () => met !== null);
-      world.calm = true;
+      world.calmSince = world.now;
       await world.runUntil(() => world.open().length === 0, CLEARED_MS);
       assert.deepEqual({ broken: world.broken, open: world.open() }, { broken: [], open: [] }, String(met));
     } finally {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -223,18 +223,19 @@
   );
 });
 
-test("an overdue job at its team's limit lets no later job of its team pass", () => {
+test("an overdue job at its team's limit lets no later job of its team pass, for a while at a time", () => {
   const host = machine("i-1");
   const other = machine("i-2");
   const running = job("req-1", { team: "capped", tasks: 8 });
   for (let i = 0; i < 3; i++) run(host, running, i);
   const large = job("req-2", { team: "capped", cpus: 2 }, NOW - 150_000);
   const free = job("req-3");
-  const round = wholeRound(input([running, large, free], [host, other]));
-  assert.deepEqual(
-    round.starts.map((s) => s.job),
-    [free],
-  );
+  const later = job("req-4", { team: "capped" });
+  const of = input([running, large, later, free], [host, other]);
+  const started = (round: Round): string[] => round.starts.map((s) => s.job.spec.id).sort();
+  assert.deepEqual(started(wholeRound(of)), ["req-3"]);
+  // Nobody waits beside room for a minute and a half: those behind it get their turn before that.
+  assert.deepEqual(started(wholeRound({ ...of, wallNow: NOW + 40_000 })), ["req-3", "req-4"]);
 });
 
 test("of jobs that can wait alike the one whose image is on the machine goes first, if others have machines enough", () => {
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -100,8 +100,8 @@
   /** The part of the transactions that get no answer and are carried out seconds later. */
   lateWrites = 0;
   stateLatencyMs = 4;
-  /** Set once all troubles are over: from now on nobody may be neglected. */
-  calm = false;
+  /** When all troubles were over: from then on nobody may be neglected. */
+  calmSince = Infinity;
   private readonly luck: ReturnType<typeof xoroshiro128plus>;
 
   private constructor(
@@ -169,7 +169,7 @@
       await settled();
       if (this.now % (50 * STEP_MS) !== 0) continue;
       this.watchCancelled();
-      if (this.calm) this.watchNeglected();
+      if (this.now > this.calmSince) this.watchNeglected();
     }
   }
 
@@ -419,7 +419,8 @@
       else job.besideRoomSince ??= this.now;
       if (job.besideRoomSince !== null && this.now - job.besideRoomSince > NEGLECTED_MS)
         this.note(`neglected: ${job.id}`);
-      if (this.now - job.answeredAt > FORGOTTEN_MS) this.note(`forgotten: ${job.id} is not told of`);
+      if (this.now - Math.max(job.answeredAt, this.calmSince) > FORGOTTEN_MS)
+        this.note(`forgotten: ${job.id} is not told of`);
     }
   }
 
