--- a/test/support/cloud.ts
+++ b/test/support/cloud.ts
@@ -87,7 +87,7 @@
   const network: WorkerNetwork = {
     controllers: controllers.map((c) => c.node),
     clock: () => performance.now(),
-    send: async (node, text, timeoutMs) => {
+    send: async (_zone, node, text, timeoutMs) => {
       const response = await fetch(`http://${controllers[node]!.address}/agent/beat`, {
         method: "POST",
         body: text,
--- /dev/null
+++ b/test/support/meetings.ts
@@ -0,0 +1,283 @@
+/** The meetings of troubles that the operators have listed, each brought about on purpose. */
+import assert from "node:assert/strict";
+import { sleep } from "../../src/runtime/wait.js";
+import type { SimulatedNode, Simulation, UserJob } from "./simulation.js";
+import { troubles } from "./troubles.js";
+
+export interface Meeting {
+  name: string;
+  play(world: Simulation): Promise<void>;
+}
+
+const LONG_MS = 60_000;
+
+/** A job all of whose tasks run. */
+async function running(world: Simulation, id: string, over: Record<string, unknown> = {}): Promise<UserJob> {
+  const job = submitLong(world, id, over);
+  const all = Number(job.body.pieces);
+  assert.ok(await world.runUntil(() => world.runningOf(job) === all, 120_000), `${id} runs`);
+  return job;
+}
+
+function submitLong(world: Simulation, id: string, over: Record<string, unknown> = {}): UserJob {
+  (world.workers.runOf ??= new Map()).set(id, LONG_MS);
+  return world.submit(id, { pieces: 6, guessS: LONG_MS / 1000, ...over });
+}
+
+/** The owner of the share that a team's jobs are in, and a node that is neither that nor the leader. */
+function ownerAndOther(world: Simulation, share: number): { owner: SimulatedNode; other: SimulatedNode } {
+  const owner = world.ownerOf(share)!;
+  const other = world.nodes.find((n) => n !== owner && n !== world.leader()) ?? world.nodes[0]!;
+  return { owner, other };
+}
+
+async function crash(world: Simulation, node: SimulatedNode, backMs: number): Promise<void> {
+  world.crash(node);
+  await world.run(backMs);
+  world.launch(node);
+}
+
+/** The state service refuses the owner alone, another controller confirms, then it is out for all. */
+function gap(refusedMs: number, outageMs: number, fromPeers: boolean): Meeting {
+  return {
+    name: `cancelled while the owner alone is refused for ${refusedMs} ms, then an outage of ${outageMs} ms${fromPeers ? ", no peers" : ""}`,
+    async play(world) {
+      const job = await running(world, "req-1");
+      const { owner, other } = ownerAndOther(world, 0);
+      world.store.refused.add(owner.index);
+      owner.cut.peers = fromPeers;
+      await world.run(refusedMs / 2);
+      await Promise.race([world.cancel(job, other), world.run(refusedMs / 2)]);
+      assert.ok(job.cancelledAt !== null && world.runningOf(job) > 0, "confirmed while its tasks run");
+      world.store.down = true;
+      await world.run(outageMs);
+      world.store.refused.delete(owner.index);
+      owner.cut.peers = false;
+      world.store.down = false;
+    },
+  };
+}
+
+export const meetings: Meeting[] = [
+  gap(2000, 45_000, false),
+  gap(2000, 45_000, true),
+  gap(500, 45_000, false),
+  gap(8000, 45_000, true),
+  {
+    name: "a leader ends while machines with long tasks cannot be reached, and others do not hear the next one",
+    async play(world) {
+      await running(world, "req-1", { pieces: 12 });
+      const { owner } = ownerAndOther(world, 0);
+      const machines = [...world.cloud.machines.values()];
+      machines.forEach((m, i) => (i % 2 === 0 ? (m.mute = true) : (m.deaf = true)));
+      await crash(world, owner, 3000);
+      await world.run(8000);
+      for (const m of machines) m.mute = m.deaf = false;
+    },
+  },
+  {
+    name: "transactions without an answer are carried out late, after newer ones",
+    async play(world) {
+      world.lateWrites = 0.4;
+      for (let i = 0; i < 8; i++) {
+        submitLong(world, `req-${i}`, { pieces: 3, crew: i % 2 ? "tight" : "free" });
+        await world.run(3000);
+        if (i === 4) await crash(world, world.leader()!, 300);
+      }
+      void world.cancel(world.jobs.get("req-3")!);
+      await world.run(20_000);
+      world.lateWrites = 0;
+    },
+  },
+  {
+    name: "a team is at its limit when its owner ends, machines cannot be asked, and a job is cancelled meanwhile",
+    async play(world) {
+      const cancelled = await running(world, "req-1", { crew: "tight", pieces: 4, vcpus: 2 });
+      submitLong(world, "req-2", { crew: "tight", pieces: 8, vcpus: 2 });
+      const { owner, other } = ownerAndOther(world, 2);
+      for (const m of world.cloud.machines.values()) m.mute = true;
+      world.crash(owner);
+      await Promise.race([world.cancel(cancelled, other), world.run(5000)]);
+      await world.run(9000);
+      for (const m of world.cloud.machines.values()) m.mute = false;
+      world.launch(owner);
+    },
+  },
+  {
+    name: "a zone with workers and a controller is cut off for longer than a lease",
+    async play(world) {
+      await running(world, "req-1", { spread: true, pieces: 12 });
+      submitLong(world, "req-2", { crew: "capped", pieces: 8 });
+      world.cutZone = "south";
+      await world.run(25_000);
+      world.cutZone = null;
+    },
+  },
+  {
+    name: "old reports arrive after newer ones, also at the next owner",
+    async play(world) {
+      world.workers.copies = 1;
+      for (let i = 0; i < 4; i++) {
+        submitLong(world, `req-${i}`, { pieces: 4 });
+        await world.run(4000);
+        await crash(world, world.ownerOf(0)!, i % 2 ? 300 : 6000);
+      }
+      await world.run(15_000);
+      world.workers.copies = 0;
+    },
+  },
+  {
+    name: "jobs of two or three tasks end far apart across a change of leader",
+    async play(world) {
+      const runs = (world.workers.runOf ??= new Map());
+      for (let i = 0; i < 6; i++) {
+        world.submit(`req-${i}`, { pieces: 2 + (i % 2), vcpus: 3 });
+        runs.set(`req-${i}`, 2000);
+        // What starts later runs much longer.
+        world.atStart(`req-${i}/1`, () => runs.set(`req-${i}`, 25_000));
+      }
+      await world.run(15_000);
+      await crash(world, world.leader()!, 400);
+      await world.run(10_000);
+      await crash(world, world.ownerOf(0)!, 3000);
+    },
+  },
+  {
+    name: "a leader is cut from the state service and its peers, workers and users reach it, and jobs are cancelled elsewhere",
+    async play(world) {
+      const jobs = [await running(world, "req-1"), await running(world, "req-2", { crew: "capped" })];
+      const leader = world.leader()!;
+      const other = world.nodes.find((n) => n !== leader)!;
+      leader.cut.state = leader.cut.peers = true;
+      await world.run(4000);
+      await Promise.race([Promise.all(jobs.map((job) => world.cancel(job, other))), world.run(8000)]);
+      assert.ok(jobs.every((job) => job.cancelledAt !== null));
+      // Whoever is asked, also the one that is cut off, tells nothing older.
+      for (let i = 0; i < 5; i++) {
+        for (const job of jobs) await Promise.race([world.look(job, leader), world.run(2500)]);
+        await world.run(4000);
+      }
+      leader.cut.state = leader.cut.peers = false;
+    },
+  },
+  {
+    name: "controllers hand over and back, all end, and one returns within a fraction of a second",
+    async play(world) {
+      await running(world, "req-1", { pieces: 10 });
+      for (let i = 0; i < 3; i++) {
+        const { owner, other } = ownerAndOther(world, 0);
+        const request = { handOver: { share: 0, to: other.name } };
+        void owner.life?.controller.answerPeer(request);
+        await world.run(1500);
+      }
+      for (const node of world.nodes) world.crash(node);
+      await world.run(300);
+      world.launch(world.nodes[1]!);
+      await world.run(12_000);
+      world.launch(world.nodes[0]!);
+      world.launch(world.nodes[2]!);
+    },
+  },
+  {
+    name: "answers are held up for seconds, machines hang, and then go on",
+    async play(world) {
+      const job = await running(world, "req-1", { pieces: 10 });
+      submitLong(world, "req-2", { pieces: 20 });
+      world.answersHeldMs = 6000;
+      const hung = [...world.cloud.machines.values()].slice(0, 3).map((m, i) => m.hang(4000 + 5000 * i));
+      void world.cancel(job);
+      await Promise.race([Promise.all(hung), world.run(20_000)]);
+      world.answersHeldMs = 0;
+    },
+  },
+  {
+    name: "the state service is slow, refuses the leader alone and then everybody while users cancel and ask",
+    async play(world) {
+      const job = await running(world, "req-1");
+      world.stateLatencyMs = 600;
+      await world.run(5000);
+      const leader = world.leader()!;
+      world.store.refused.add(leader.index);
+      void world.cancel(job);
+      await world.run(3000);
+      world.store.down = true;
+      void world.cancel(submitLong(world, "req-2"));
+      await world.run(35_000);
+      world.store.refused.delete(leader.index);
+      world.store.down = false;
+      await world.run(10_000);
+      world.stateLatencyMs = 4;
+    },
+  },
+  {
+    name: "workers reach no controller, and a job of theirs is cancelled",
+    async play(world) {
+      const job = await running(world, "req-1", { pieces: 8 });
+      await running(world, "req-2", { pieces: 8 });
+      for (const m of world.cloud.machines.values()) m.mute = true;
+      void world.cancel(job);
+      await world.run(22_000);
+      for (const m of world.cloud.machines.values()) m.mute = false;
+    },
+  },
+  {
+    name: "jobs bound to one zone, and arrays that are together or spread, lose machines",
+    async play(world) {
+      await running(world, "req-1", { bank: "south" });
+      await running(world, "req-2", { together: true });
+      await running(world, "req-3", { spread: true });
+      for (const { host } of [...world.cloud.machines.values()].filter((_, i) => i % 2 === 0))
+        world.cloud.machines.get(host)?.stop();
+      await world.run(5000);
+      await crash(world, world.ownerOf(0)!, 300);
+    },
+  },
+  {
+    name: "cancellations, questions and repeats meet the end of a job's last task",
+    async play(world) {
+      const end = troubles.cancelAtEnd!(world, 60_000);
+      for (let i = 0; i < 20; i++) {
+        const job = world.submit(`req-${i}`, { pieces: 1 + (i % 3) });
+        (world.workers.runOf ??= new Map()).set(job.id, 1000 + world.pick(4000));
+        await world.run(2500);
+        for (const known of world.jobs.values()) if (known.accepted) void world.repeat(known);
+      }
+      await Promise.race([end, world.run(60_000)]);
+    },
+  },
+  {
+    name: "all controllers are away for longer than a lease",
+    async play(world) {
+      await running(world, "req-1", { pieces: 10 });
+      submitLong(world, "req-2", { crew: "tight", pieces: 10 });
+      for (const node of world.nodes) world.crash(node);
+      await world.run(25_000);
+      for (const node of world.nodes) world.launch(node);
+    },
+  },
+  {
+    name: "leaders change ten times in two minutes, also inside an outage",
+    async play(world) {
+      await running(world, "req-1", { pieces: 10 });
+      for (let i = 0; i < 10; i++) {
+        if (i === 4) world.store.down = true;
+        if (i === 6) world.store.down = false;
+        submitLong(world, `req-1${i}`, { pieces: 2, crew: i % 2 ? "capped" : "free" });
+        await crash(world, world.leader() ?? world.nodes[0]!, i % 3 === 0 ? 300 : 4000);
+        await sleepIn(world, 8000);
+      }
+    },
+  },
+  {
+    name: "jobs are cancelled at once while their machines hang",
+    async play(world) {
+      const jobs = [];
+      for (let i = 0; i < 4; i++) jobs.push(await running(world, `req-${i}`, { pieces: 4 }));
+      const hung = [...world.cloud.machines.values()].map((m, i) => m.hang(3000 * (1 + (i % 5))));
+      for (const job of jobs) void world.cancel(job);
+      await Promise.race([Promise.all(hung), world.run(20_000)]);
+    },
+  },
+];
+
+const sleepIn = (world: Simulation, ms: number): Promise<unknown> => Promise.race([sleep(ms), world.run(ms)]);
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -34,6 +34,8 @@
 /** What a machine of the stand-in cloud holds. */
 const MACHINE_CPUS = 4;
 
+const ZONES = ["north", "south"];
+
 /** One life of a controller: what it began goes nowhere once it is over. */
 interface Life {
   alive: boolean;
@@ -83,6 +85,7 @@
   constructor(
     readonly name: string,
     readonly index: number,
+    readonly zone: string,
   ) {}
 }
 
@@ -101,8 +104,13 @@
   /** The part of the transactions that get no answer and are carried out seconds later. */
   lateWrites = 0;
   stateLatencyMs = 4;
+  /** Answers to workers are held up for so long at the most. */
+  answersHeldMs = 0;
+  /** A zone that is cut off from everything outside it. */
+  cutZone: string | null = null;
   /** When all troubles were over: from then on nobody may be neglected. */
   calmSince = Infinity;
+  private readonly onStart = new Map<string, () => void>();
   private readonly luck: ReturnType<typeof xoroshiro128plus>;
 
   private constructor(
@@ -117,7 +125,7 @@
     mock.method(Math, "random", () => this.chance());
     // Names that never come again are part of the luck: the order of records hangs on them.
     mock.method(crypto, "randomUUID", () => `${this.pick(2 ** 31)}-${this.pick(2 ** 31)}`);
-    this.nodes = Array.from({ length: count }, (_, i) => new SimulatedNode(`node-${i}`, i));
+    this.nodes = Array.from({ length: count }, (_, i) => new SimulatedNode(`node-${i}`, i, ZONES[i % 2]!));
     this.settings = this.settingsOf(this.nodes[0]!);
     const { reportMs, leaseMs } = this.settings.workers;
     const figures = { bootMs: 2000, runMs: 20_000, timeoutMs: 4000, retryMs: RETRY_MS };
@@ -126,7 +134,7 @@
       {
         controllers: this.nodes.map((n) => n.name),
         clock: () => this.now,
-        send: (node, text, timeoutMs) => this.report(this.nodes[node]!, text, timeoutMs),
+        send: (zone, node, text, timeoutMs) => this.report(zone, this.nodes[node]!, text, timeoutMs),
       },
       this.workers,
       { started: (piece, worker) => this.started(piece, worker), completed: (piece) => this.finished(piece) },
@@ -196,7 +204,7 @@
     const since = this.now;
     const state = this.caller(
       life,
-      () => !node.cut.state,
+      () => !node.cut.state && node.zone !== this.cutZone,
       (method, path, body) => this.askState(node.index, method, path, body),
     );
     const around = {
@@ -225,6 +233,11 @@
     node.life = null;
   }
 
+  /** Whether a cut lies between two zones. */
+  private severed(a: string, b: string): boolean {
+    return a !== b && (a === this.cutZone || b === this.cutZone);
+  }
+
   /** The live owner of a share, as the records have it. */
   ownerOf(share: number): SimulatedNode | undefined {
     const record = this.store.value(`fernpond/live/shares/${share}`) as { node: string } | undefined;
@@ -309,7 +322,8 @@
       close: () => undefined,
       ask: async (name: string, request: PeerRequest, timeoutMs = 500): Promise<PeerReply> => {
         const peer = this.nodes.find((n) => n.name === name)!;
-        const reachable = (): boolean => !node.cut.peers && !peer.cut.peers && peer.life !== null;
+        const reachable = (): boolean =>
+          !node.cut.peers && !peer.cut.peers && peer.life !== null && !this.severed(node.zone, peer.zone);
         const ask = (): Promise<PeerReply> => peer.life!.controller.answerPeer(structuredClone(request));
         const silence = (): Error => new PeerSilent(name);
         const reply = await this.exchange(life, reachable, ask, timeoutMs, silence);
@@ -323,6 +337,7 @@
   // --- workers
 
   private report(
+    zone: string,
     node: SimulatedNode,
     text: string,
     timeoutMs: number,
@@ -333,11 +348,25 @@
       const parsed = parseReport(JSON.parse(text));
       if (!parsed.ok) return { status: 400, body: {} };
       const routed = await life.controller.door.report(parsed.value);
+      await sleep(this.chance() * this.answersHeldMs);
       return routed.kind === "commands"
         ? { status: 200, body: copied(routed.body) }
         : { status: 421, body: redirectToWire(routed.owner) };
     };
-    return this.visit(life, () => !node.cut.workers, work, timeoutMs);
+    const reachable = (): boolean => !node.cut.workers && !this.severed(zone, node.zone);
+    return this.visit(life, reachable, work, timeoutMs);
+  }
+
+  /** Something to be done when a task first starts. */
+  atStart(piece: string, then: () => void): void {
+    this.onStart.set(piece, then);
+  }
+
+  runningOf(job: UserJob): number {
+    let count = 0;
+    for (const { running } of this.cloud.machines.values())
+      for (const piece of running) if (this.jobOf(piece) === job) count++;
+    return count;
   }
 
   private jobOf(piece: string): UserJob | undefined {
@@ -347,6 +376,8 @@
   /** The rules that can be broken by a start. */
   private started(piece: string, worker: WorkerStandIn): void {
     const job = this.jobOf(piece)!;
+    this.onStart.get(piece)?.();
+    this.onStart.delete(piece);
     if (job.cancelledAt !== null) this.lateStarts++;
     const onAnother = [...this.cloud.machines.values()].some((w) => w !== worker && w.running.has(piece));
     if (onAnother) this.note(`ran_twice: ${piece}`);
--- a/test/support/troubles.ts
+++ b/test/support/troubles.ts
@@ -53,6 +53,16 @@
   cutFromStateAndPeers: (world, forMs) => cut(world, forMs, ["state", "peers"]),
   cutFromWorkers: (world, forMs) => cut(world, forMs, ["workers"]),
   cutFromAll: (world, forMs) => cut(world, forMs, ["state", "peers", "workers"]),
+  async zoneCut(world, forMs) {
+    world.cutZone = world.chance() < 0.5 ? "north" : "south";
+    await sleep(forMs);
+    world.cutZone = null;
+  },
+  async answersHeld(world, forMs) {
+    world.answersHeldMs = 6000;
+    await sleep(forMs);
+    world.answersHeldMs = 0;
+  },
   async refusedAlone(world, forMs) {
     const { index } = busiest(world);
     world.store.refused.add(index);
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -18,8 +18,13 @@
 export interface WorkerNetwork {
   controllers: string[];
   clock(): number;
-  /** One report to one controller: its answer within the worker's time-out, or a rejection. */
-  send(node: number, text: string, timeoutMs: number): Promise<{ status: number; body: unknown }>;
+  /** One report from a zone to one controller: its answer within the worker's time-out, or a rejection. */
+  send(
+    zone: string,
+    node: number,
+    text: string,
+    timeoutMs: number,
+  ): Promise<{ status: number; body: unknown }>;
 }
 
 export interface WorkerFigures {
@@ -169,7 +174,7 @@
       await sleep(timeoutMs / 2);
       throw new Error("no answer");
     }
-    const answer = await this.network.send(this.node, text, timeoutMs);
+    const answer = await this.network.send(this.zone, this.node, text, timeoutMs);
     if (this.deaf || this.hung || this.stopped) throw new Error("the answer is lost");
     return answer;
   }
@@ -178,7 +183,7 @@
   private sendCopy(body: string, leases: number): void {
     const timer = setTimeout(() => {
       for (let node = 0; node < this.network.controllers.length; node++)
-        this.network.send(node, body, this.figures.leaseMs).catch(() => undefined);
+        this.network.send(this.zone, node, body, this.figures.leaseMs).catch(() => undefined);
     }, leases * this.figures.leaseMs);
     timer.unref();
   }
