--- a/test/support/meetings.ts
+++ b/test/support/meetings.ts
@@ -220,6 +220,22 @@
       for (const m of world.cloud.machines.values()) m.mute = false;
     },
   },
+  {
+    name: "there is more work than room, urgent and not, over slow links",
+    async play(world) {
+      world.cloud.capacity = 4;
+      world.answersHeldMs = 1500;
+      for (let i = 0; i < 24; i++) {
+        const rank = ["best_effort", "normal", "urgent"][i % 3];
+        const crew = ["free", "capped", "tight"][world.pick(3)];
+        const over = { rank, crew, pieces: 3, markEveryS: 5, markCostS: 1, vcpus: 1 + (i % 3) };
+        world.submit(`req-${i}`, over);
+        await world.run(1000);
+      }
+      await world.run(10_000);
+      world.answersHeldMs = 0;
+    },
+  },
   {
     name: "jobs bound to one zone, and arrays that are together or spread, lose machines",
     async play(world) {
