--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -4,6 +4,7 @@
 import { knownRed } from "./support/known-red.js";
 import { meetings } from "./support/meetings.js";
 import { Simulation } from "./support/simulation.js";
+import type { SettingsOptions } from "./support/settings.js";
 import { meet } from "./support/troubles.js";
 import { TEAMS, work } from "./support/workload.js";
 
@@ -14,8 +15,12 @@
 const [FIRST = 1, LAST = 16] = (process.env.MIXTURES ?? "").split("-").filter(Boolean).map(Number);
 
 /** Plays a day, and sees that all ends well once its troubles are over. */
-async function day(seed: number, play: (world: Simulation) => Promise<unknown>): Promise<void> {
-  const world = await Simulation.start(3, seed, { teams: TEAMS });
+async function day(
+  seed: number,
+  play: (world: Simulation) => Promise<unknown>,
+  settings: SettingsOptions = {},
+): Promise<void> {
+  const world = await Simulation.start(3, seed, { teams: TEAMS, ...settings });
   try {
     await world.run(10_000);
     const about = String(await play(world));
@@ -27,10 +32,10 @@
   }
 }
 
-for (const { name: meeting, play } of meetings) {
+for (const { name: meeting, play, settings } of meetings) {
   const name = `where troubles meet: ${meeting}`;
   test(name, knownRed(name), async () => {
-    for (let seed = 1; seed <= 2; seed++) await day(seed, play);
+    for (let seed = 1; seed <= 2; seed++) await day(seed, play, settings);
   });
 }
 
--- a/test/support/meetings.ts
+++ b/test/support/meetings.ts
@@ -2,10 +2,12 @@
 import assert from "node:assert/strict";
 import { sleep } from "../../src/runtime/wait.js";
 import type { SimulatedNode, Simulation, UserJob } from "./simulation.js";
+import type { SettingsOptions } from "./settings.js";
 import { troubles } from "./troubles.js";
 
 export interface Meeting {
   name: string;
+  settings?: SettingsOptions;
   play(world: Simulation): Promise<void>;
 }
 
@@ -63,6 +65,19 @@
   gap(2000, 45_000, true),
   gap(500, 45_000, false),
   gap(8000, 45_000, true),
+  {
+    name: "a job is cancelled while its owner renews its hold and hears of no change",
+    async play(world) {
+      const job = await running(world, "req-1");
+      const { owner, other } = ownerAndOther(world, 0);
+      owner.cut.feed = true;
+      await world.run(1000);
+      await Promise.race([world.cancel(job, other), world.run(3000)]);
+      assert.ok(job.cancelledAt !== null && world.runningOf(job) > 0, "confirmed while its tasks run");
+      await world.run(45_000);
+      owner.cut.feed = false;
+    },
+  },
   {
     name: "a leader ends while machines with long tasks cannot be reached, and others do not hear the next one",
     async play(world) {
@@ -91,14 +106,19 @@
   },
   {
     name: "a team is at its limit when its owner ends, machines cannot be asked, and a job is cancelled meanwhile",
+    // Long enough that the next owner decides while tasks of the last one still run.
+    settings: { leaseS: 24, cancelS: 70 },
     async play(world) {
       const cancelled = await running(world, "req-1", { crew: "tight", pieces: 4, vcpus: 2 });
-      submitLong(world, "req-2", { crew: "tight", pieces: 8, vcpus: 2 });
       const { owner, other } = ownerAndOther(world, 2);
       for (const m of world.cloud.machines.values()) m.mute = true;
       world.crash(owner);
       await Promise.race([world.cancel(cancelled, other), world.run(5000)]);
+      assert.ok(await world.runUntil(() => world.ownerOf(2) !== owner, 30_000));
+      // Accepted in the new owner's term, so that it need not wait for machines that nobody has heard.
+      submitLong(world, "req-2", { crew: "tight", pieces: 8, vcpus: 2 });
       await world.run(9000);
+      assert.ok(world.runningOf(cancelled) > 0, "what was cancelled still runs unseen");
       for (const m of world.cloud.machines.values()) m.mute = false;
       world.launch(owner);
     },
@@ -126,6 +146,25 @@
       world.workers.copies = 0;
     },
   },
+  {
+    name: "a report from before a machine's tasks is held back until the next owner has acted, and arrives there",
+    settings: { leaseS: 24, cancelS: 70 },
+    async play(world) {
+      world.keepsReports = true;
+      await running(world, "req-1");
+      world.keepsReports = false;
+      const { owner } = ownerAndOther(world, 0);
+      const [full] = [...world.cloud.machines.values()].sort((a, b) => b.running.size - a.running.size);
+      full!.mute = true;
+      world.crash(owner);
+      assert.ok(await world.runUntil(() => world.ownerOf(0) !== owner, 30_000));
+      await world.run(1000);
+      world.releaseReports();
+      await world.run(8000);
+      full!.mute = false;
+      world.launch(owner);
+    },
+  },
   {
     name: "jobs of two or three tasks end far apart across a change of leader",
     async play(world) {
@@ -160,6 +199,16 @@
       leader.cut.state = leader.cut.peers = false;
     },
   },
+  {
+    name: "an owner is cut from the state service and its peers, and long tasks run on workers that still reach it",
+    async play(world) {
+      await running(world, "req-1", { pieces: 10 });
+      const { owner } = ownerAndOther(world, 0);
+      owner.cut.state = owner.cut.peers = true;
+      await world.run(28_000);
+      owner.cut.state = owner.cut.peers = false;
+    },
+  },
   {
     name: "controllers hand over and back, all end, and one returns within a fraction of a second",
     async play(world) {
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -76,11 +76,13 @@
   state: boolean;
   peers: boolean;
   workers: boolean;
+  /** What it asks of the state service is answered, but for the changes that it waits for. */
+  feed: boolean;
 }
 
 export class SimulatedNode {
   life: Life | null = null;
-  readonly cut: Cuts = { state: false, peers: false, workers: false };
+  readonly cut: Cuts = { state: false, peers: false, workers: false, feed: false };
 
   constructor(
     readonly name: string,
@@ -110,6 +112,9 @@
   cutZone: string | null = null;
   /** When all troubles were over: from then on nobody may be neglected. */
   calmSince = Infinity;
+  /** Whether copies of reports are kept, to arrive late. */
+  keepsReports = false;
+  private readonly kept: { zone: string; text: string }[] = [];
   private readonly onStart = new Map<string, () => void>();
   private readonly luck: ReturnType<typeof xoroshiro128plus>;
 
@@ -202,15 +207,16 @@
     // Each process has a steady clock of its own, which drifts as much as is allowed.
     const drift = 1 + (this.chance() - 0.5) * 0.001;
     const since = this.now;
-    const state = this.caller(
-      life,
-      () => !node.cut.state && node.zone !== this.cutZone,
-      (method, path, body) => this.askState(node.index, method, path, body),
-    );
+    const state = (alsoCut: () => boolean): JsonCalls =>
+      this.caller(
+        life,
+        () => !node.cut.state && node.zone !== this.cutZone && !alsoCut(),
+        (method, path, body) => this.askState(node.index, method, path, body),
+      );
     const around = {
       clock: () => (this.now - since) * drift,
-      state,
-      watches: state,
+      state: state(() => false),
+      watches: state(() => node.cut.feed),
       cloud: this.caller(
         life,
         () => true,
@@ -342,6 +348,7 @@
     text: string,
     timeoutMs: number,
   ): Promise<{ status: number; body: unknown }> {
+    if (this.keepsReports) this.kept.push({ zone, text });
     const { life } = node;
     if (life === null) return Promise.reject(new Error("refused"));
     const work = async (): Promise<{ status: number; body: unknown }> => {
@@ -357,6 +364,14 @@
     return this.visit(life, reachable, work, timeoutMs);
   }
 
+  /** Copies of the reports without tasks that were kept arrive now, at every controller. */
+  releaseReports(): void {
+    for (const { zone, text } of this.kept.splice(0)) {
+      if (!text.includes('"pieces":[]')) continue;
+      for (const node of this.nodes) this.report(zone, node, text, 4000).catch(() => undefined);
+    }
+  }
+
   /** Something to be done when a task first starts. */
   atStart(piece: string, then: () => void): void {
     this.onStart.set(piece, then);
