Know a raised token by its mark, so that the share goes on whoever tells first

Cause: an owner that raises its share's token noted the change only with the write's answer. The record now bears the change's mark, which was noted before the write was sent; the write's guard on the known version is what proves that nobody was in between.

Also: a spread job of one task is rented for where it is bound to, or where it is cheapest. Tests: membership (both fail without the mark), placement.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -92,8 +92,8 @@
 
   /** Whether what an owner knew of its share at a version still holds at the present one. */
   continues(share: number, known: number): boolean {
-    const version = this.cluster.shares[share]?.version;
-    return version !== undefined && sameTerm(known, version, this.raises.get(share));
+    const record = this.cluster.shares[share];
+    return record !== null && record !== undefined && sameTerm(known, record, this.raises.get(share));
   }
 
   /** Whether this process leads right now, and the version of the record that says so. */
@@ -281,14 +281,15 @@
     const record = this.cluster.shares[share];
     if (!record || this.token(share) === null || this.busy) return;
     this.busy = true;
+    const mark = crypto.randomUUID();
+    this.raises.set(share, { from: record.version, mark });
     try {
       const commit = await this.state.commit(
         [{ key: keys.share(share), version: record.version }],
-        [{ put: keys.share(share), value: this.me }],
+        [{ put: keys.share(share), value: { ...this.me, mark } }],
         "ownership",
       );
       if (!commit.ok) return;
-      this.raises.set(share, { from: record.version, to: commit.revision });
       this.log.info({ share, token: commit.revision }, "token raised");
     } catch (err) {
       this.log.debug({ err: (err as Error).message, share }, "token not raised");
--- a/src/membership/records.ts
+++ b/src/membership/records.ts
@@ -3,7 +3,7 @@
 import { keys, prefixes } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 
-const who = z.object({ node: z.string(), incarnation: z.string() });
+const who = z.object({ node: z.string(), incarnation: z.string(), mark: z.string().optional() });
 
 export interface Process {
   node: string;
@@ -12,6 +12,8 @@
 
 export interface Held extends Process {
   version: number;
+  /** Which raise of a share's token wrote it, if one did. */
+  mark?: string | undefined;
 }
 
 export interface Cluster {
@@ -51,17 +53,25 @@
 export const sameProcess = (a: Process | null | undefined, b: Process): boolean =>
   a?.node === b.node && a.incarnation === b.incarnation;
 
-/** A change of a share's record that its owner made itself: the token rose, and the owner stayed. */
+/** A change of a share's record that its owner made itself, or meant to: the token rises, and the owner stays. */
 export interface Raise {
+  /** The version that the change was made on the condition of. */
   from: number;
-  to: number;
+  /** A name that no other change bears. */
+  mark: string;
 }
 
 /**
  * Whether an owner that knew its share at one version may go on with what it knows at another. Guards against
  * `ran_twice`: a process cut off for a while may find itself the owner again without ever having seen that
- * another was in between. Only a change that it made itself, on the version that it knew, leaves no such gap.
+ * another was in between. Only a change that it made itself, on the version that it knew, leaves no such gap. The
+ * change is known by its mark, since the feed may show it before the write is answered, or without an answer ever.
  */
-export function sameTerm(known: number, version: number, raise: Raise | undefined): boolean {
-  return version === known || (raise !== undefined && raise.from === known && raise.to === version);
+export function sameTerm(
+  known: number,
+  now: Pick<Held, "version" | "mark">,
+  raise: Raise | undefined,
+): boolean {
+  if (now.version === known) return true;
+  return raise !== undefined && raise.from === known && raise.mark === now.mark;
 }
--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -55,8 +55,8 @@
     const patience = patienceMs(job, input);
     const run = expectedRunMs(job, input);
     let count = input.waiting.get(job)!;
-    const { oneZone, spread } = job.spec;
-    const zones = oneZone || spread ? zonesOf(job) : null;
+    const { oneZone, spread, tasks } = job.spec;
+    const zones = oneZone || (spread && tasks > 1) ? zonesOf(job) : null;
     const open: { room: Room; at: number }[] = [];
     const offer = (room: Room): void => {
       const at = firstFit(room.pieces, job, patience);
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -73,13 +73,19 @@
 
 test("an owner that was cut off and comes to own its share again starts afresh", () => {
   // Cut off at version 10, while another owned the share at 11 and passed it back at 12.
-  assert.equal(sameTerm(10, 12, undefined), false);
-  assert.equal(sameTerm(10, 12, { from: 11, to: 12 }), false);
-  assert.equal(sameTerm(10, 11, { from: 10, to: 11 }), true);
-  assert.equal(sameTerm(10, 10, undefined), true);
+  assert.equal(sameTerm(10, { version: 12 }, undefined), false);
+  assert.equal(sameTerm(10, { version: 12, mark: "m" }, { from: 11, mark: "m" }), false);
+  assert.equal(sameTerm(10, { version: 11, mark: "m" }, { from: 10, mark: "m" }), true);
+  assert.equal(sameTerm(10, { version: 10 }, undefined), true);
+  // A raise without an answer was not carried out, and what is there is another's or of another time.
+  assert.equal(sameTerm(10, { version: 12 }, { from: 10, mark: "m" }), false);
+  assert.equal(sameTerm(10, { version: 12, mark: "n" }, { from: 10, mark: "m" }), false);
 });
 
-test("a leader that owns every share passes one on, although it asks itself while it acts", async () => {
+const settle = (): Promise<unknown> => new Promise((resolve) => setImmediate(resolve));
+
+/** The membership of node a, which owns three shares at the versions 10, 11 and 12 and whose writes are carried out at once. */
+function owningAll(written: (membership: Membership) => void): { membership: Membership; store: FakeView } {
   const store = new FakeView();
   const me = { node: "a", incarnation: "a.1" };
   store.put(keys.leader, me, 9);
@@ -91,10 +97,12 @@
     grant: () => Promise.resolve(1),
     read: () => Promise.resolve(null),
     renew: () => Promise.resolve(true),
-    commit: (_guards: Guard[], writes: Write[]) => {
+    commit: async (_guards: Guard[], writes: Write[]) => {
+      await settle();
       revision++;
       for (const write of writes) if ("put" in write) store.put(write.put, write.value, revision);
-      return Promise.resolve({ ok: true as const, revision });
+      written(membership);
+      return { ok: true as const, revision };
     },
   };
   const figures = { holdMs: 5000, marginMs: 100, staleMs: 5000, sharePeriodMs: 30_000 };
@@ -103,22 +111,36 @@
     askHandOver: (_owner: string, share: number, to: string) =>
       void membership.tell({ kind: "hand_over", share, to }),
   };
-  const membership = new Membership(
-    me,
-    3,
-    3,
-    figures,
-    state as unknown as StateClient,
-    store,
-    () => 0,
-    hooks,
-    silent,
-  );
+  const client = state as unknown as StateClient;
+  const membership = new Membership(me, 3, 3, figures, client, store, () => 0, hooks, silent);
+  return { membership, store };
+}
+
+test("a leader that owns every share passes one on, although it asks itself while it acts", async () => {
+  const { membership } = owningAll(() => undefined);
   for (let i = 0; i < 3; i++) {
     membership.tell({ kind: "tick" });
-    await new Promise((resolve) => setImmediate(resolve));
+    await settle();
+    await settle();
     membership.tell({ kind: "records" });
   }
   const owners = membership.cluster.shares.map((s) => s?.node);
   assert.deepEqual(owners.sort(), ["a", "a", "b"]);
 });
+
+test("an owner goes on with a share whose raised token the feed shows before the write is answered", async () => {
+  const raised = 14;
+  const went: (boolean | number)[] = [];
+  const { membership, store } = owningAll((of) => {
+    if (store.get(keys.share(0))?.version !== raised) return;
+    of.tell({ kind: "records" });
+    went.push(of.continues(0, 10), of.continues(1, 11), of.token(0) ?? 0);
+  });
+  membership.tell({ kind: "tick" });
+  await settle();
+  await settle();
+  membership.tell({ kind: "raise", share: 0 });
+  await settle();
+  await settle();
+  assert.deepEqual(went, [true, true, raised]);
+});
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -112,6 +112,7 @@
     [3, "north"],
     [2, "south"],
   ]);
+  assert.deepEqual(waiting(job("req-3", { spread: true, zone: "south" }), []), [[1, "south"]]);
   // Room in a zone where half of it already is counts for nothing.
   const north = machine("i-1");
   run(north, spread, 0);
