Go on when a server cannot accept a connection

Cause, from reading: the error listener of both servers went with its first event, so that a second failed accept (a process out of sockets) would have ended the process. Both now listen by one function, whose test emits the error three times and fails without the lasting listener.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,6 +1,5 @@
 /** One controller: makes the actors and connects them. */
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { pipeline } from "node:stream";
 import { CloudClient } from "./cloud/client.js";
 import type { OperatorSettings } from "./config/operator.js";
@@ -17,6 +16,7 @@
 import { ShareKeeper, type ReportAnswer } from "./placement/share-keeper.js";
 import { steadyClock, type SteadyClock } from "./runtime/clock.js";
 import { JsonHttp, parseJson, type JsonCalls } from "./runtime/http-client.js";
+import { listenOn } from "./runtime/listening.js";
 import type { Logger } from "./runtime/log.js";
 import { toDemandRecord } from "./sizing/demand-record.js";
 import { Sizer } from "./sizing/sizer.js";
@@ -254,16 +254,7 @@
     const server = createServer(createApp(this.door).callback());
     // Users and workers keep their connections; closing them between two polls costs both sides.
     server.keepAliveTimeout = 2 * this.settings.workers.cancelMs;
-    const colon = this.settings.listen.lastIndexOf(":");
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(
-        Number(this.settings.listen.slice(colon + 1)),
-        this.settings.listen.slice(0, colon),
-        resolve,
-      );
-    });
-    const port = (server.address() as AddressInfo).port;
+    const port = await listenOn(server, this.settings.listen, this.log);
     this.log.info({ port, peerPort }, "listening");
     return {
       port,
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -1,6 +1,7 @@
 /** The connections between controllers: questions out, answers back, each with a deadline. */
-import { createServer, Socket, type AddressInfo, type Server } from "node:net";
+import { createServer, Socket, type Server } from "node:net";
 import { pipeline, Writable } from "node:stream";
+import { listenOn } from "../runtime/listening.js";
 import type { Logger } from "../runtime/log.js";
 import { FrameReader, frameBytes } from "./framing.js";
 import type { Frame, PeerReply, PeerRequest } from "./messages.js";
@@ -118,15 +119,8 @@
   }
 
   listen(address: string, handler: PeerHandler): Promise<number> {
-    const colon = address.lastIndexOf(":");
-    const server = createServer((socket) => this.serve(socket, handler));
-    this.server = server;
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () =>
-        resolve((server.address() as AddressInfo).port),
-      );
-    });
+    this.server = createServer((socket) => this.serve(socket, handler));
+    return listenOn(this.server, address, this.log);
   }
 
   close(): void {
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -1,11 +1,12 @@
 /** What controllers say to each other survives the wire, whole or in pieces; broken bytes do not get through. */
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { connect } from "node:net";
+import { connect, createServer } from "node:net";
 import { test } from "node:test";
 import { FrameReader, frameBytes } from "../src/peers/framing.js";
 import { Peers, PeerSilent } from "../src/peers/links.js";
 import type { Frame } from "../src/peers/messages.js";
+import { listenOn } from "../src/runtime/listening.js";
 import { silent } from "./support/records.js";
 
 const frames: Frame[] = [
@@ -41,3 +42,12 @@
   asker.close();
   peers.close();
 });
+
+test("a server goes on although connections fail again and again, and an address in use is told at the start", async () => {
+  const server = createServer();
+  const port = await listenOn(server, "127.0.0.1:0", silent);
+  for (let i = 0; i < 3; i++) server.emit("error", new Error("accept EMFILE"));
+  assert.equal(server.listening, true);
+  await assert.rejects(listenOn(createServer(), `127.0.0.1:${port}`, silent), /EADDRINUSE/);
+  server.close();
+});
