Say once in the test stand-ins what runs twice, ails and limits

Found by reading the change whole: the simulation looked for double starts beside the cloud stand-in, which notes them already; deaf, mute and sick machines were three copies of one trouble; a count of late starts, a parameter and a since-when were read by nobody; a wait raced two clocks that are one.

--- a/test/support/meetings.ts
+++ b/test/support/meetings.ts
@@ -1,6 +1,5 @@
 /** The meetings of troubles that the operators have listed, each brought about on purpose. */
 import assert from "node:assert/strict";
-import { sleep } from "../../src/runtime/wait.js";
 import type { SimulatedNode, Simulation, UserJob } from "./simulation.js";
 import type { SettingsOptions } from "./settings.js";
 import { troubles } from "./troubles.js";
@@ -329,7 +328,7 @@
         if (i === 6) world.store.down = false;
         submitLong(world, `req-1${i}`, { pieces: 2, crew: i % 2 ? "capped" : "free" });
         await crash(world, world.leader() ?? world.nodes[0]!, i % 3 === 0 ? 300 : 4000);
-        await sleepIn(world, 8000);
+        await world.run(8000);
       }
     },
   },
@@ -344,5 +343,3 @@
     },
   },
 ];
-
-const sleepIn = (world: Simulation, ms: number): Promise<unknown> => Promise.race([sleep(ms), world.run(ms)]);
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -94,8 +94,6 @@
   readonly jobs = new Map<string, UserJob>();
   /** What went against the rules. */
   readonly broken: string[] = [];
-  /** Starts after the user had been told that the job is cancelled: allowed for a while, and useless. */
-  lateStarts = 0;
   readonly workers: WorkerFigures;
   readonly settings: Settings;
   /** The part of the transactions that get no answer and are carried out seconds later. */
@@ -118,7 +116,6 @@
     seed: number,
     private readonly options: SettingsOptions,
     private readonly operator: OperatorSettings,
-    workers: Partial<WorkerFigures>,
   ) {
     this.luck = xoroshiro128plus(seed);
     mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"], now: 1_700_000_000_000 });
@@ -128,8 +125,7 @@
     this.nodes = Array.from({ length: count }, (_, i) => new SimulatedNode(`node-${i}`, i, ZONES[i % 2]!));
     this.settings = this.settingsOf(this.nodes[0]!);
     const { reportMs, leaseMs } = this.settings.workers;
-    const figures = { bootMs: 2000, runMs: 20_000, timeoutMs: 4000, retryMs: RETRY_MS };
-    this.workers = { reportMs, leaseMs, ...figures, ...workers };
+    this.workers = { reportMs, leaseMs, bootMs: 2000, runMs: 20_000, timeoutMs: 4000, retryMs: RETRY_MS };
     this.cloud = new Cloud(
       {
         controllers: this.nodes.map((n) => n.name),
@@ -141,13 +137,8 @@
     );
   }
 
-  static async start(
-    count: number,
-    seed: number,
-    options: SettingsOptions = {},
-    workers: Partial<WorkerFigures> = {},
-  ): Promise<Simulation> {
-    const world = new Simulation(count, seed, options, await readOperatorSettings(undefined), workers);
+  static async start(count: number, seed: number, options: SettingsOptions = {}): Promise<Simulation> {
+    const world = new Simulation(count, seed, options, await readOperatorSettings(undefined));
     for (const node of world.nodes) world.launch(node);
     return world;
   }
@@ -388,9 +379,7 @@
     const job = this.jobOf(piece)!;
     this.onStart.get(piece)?.();
     this.onStart.delete(piece);
-    if (job.cancelledAt !== null) this.lateStarts++;
-    const onAnother = [...this.cloud.machines.values()].some((w) => w !== worker && w.running.has(piece));
-    if (onAnother) this.note(`ran_twice: ${piece}`);
+    for (const twice of this.cloud.ranTwice) this.note(`ran_twice: ${twice}`);
     this.checkQuota(String(job.body.crew));
     const wrong = this.misplaced(job, piece, worker);
     if (wrong !== null) this.note(`wrong_place: ${piece} ${wrong}`);
@@ -406,10 +395,15 @@
     return used;
   }
 
+  /** What a team may use at a time. */
+  private limitOf(team: string): number {
+    return this.settings.teams.find((t) => t.name === team)?.cpusMax || Infinity;
+  }
+
   private checkQuota(team: string): void {
-    const limit = this.settings.teams.find((t) => t.name === team)?.cpusMax ?? 0;
+    const limit = this.limitOf(team);
     const used = this.usedBy(team);
-    if (limit > 0 && used > limit + 1e-9) this.note(`quota: ${team} uses ${used} of ${limit}`);
+    if (used > limit + 1e-9) this.note(`quota: ${team} uses ${used} of ${limit}`);
   }
 
   /** Why a task may not be where it is, given the job's other tasks. */
@@ -465,17 +459,15 @@
   }
 
   private underLimit(job: UserJob): boolean {
-    const limit = this.settings.teams.find((t) => t.name === job.body.crew)?.cpusMax ?? 0;
-    return limit === 0 || this.usedBy(String(job.body.crew)) + Number(job.body.vcpus) <= limit;
+    const team = String(job.body.crew);
+    return this.usedBy(team) + Number(job.body.vcpus) <= this.limitOf(team);
   }
 
   private hasRoom(worker: WorkerStandIn, job: UserJob): boolean {
     let used = 0;
     for (const piece of worker.running) used += Number(this.jobOf(piece)!.body.vcpus);
     return (
-      worker.wellSince !== null &&
-      used + Number(job.body.vcpus) <= MACHINE_CPUS &&
-      this.misplaced(job, "", worker) === null
+      worker.well && used + Number(job.body.vcpus) <= MACHINE_CPUS && this.misplaced(job, "", worker) === null
     );
   }
 
--- a/test/support/troubles.ts
+++ b/test/support/troubles.ts
@@ -31,6 +31,13 @@
 const someMachines = (world: Simulation) =>
   [...world.cloud.machines.values()].filter(() => world.chance() < 0.4);
 
+async function ail(world: Simulation, forMs: number, how: "deaf" | "mute" | "sick"): Promise<void> {
+  const machines = someMachines(world);
+  for (const machine of machines) machine[how] = true;
+  await sleep(forMs);
+  for (const machine of machines) machine[how] = false;
+}
+
 const openJobs = (world: Simulation): UserJob[] =>
   [...world.jobs.values()].filter((job) => job.accepted && !job.over && !job.cancelAsked);
 
@@ -92,24 +99,9 @@
   async machinesHang(world, forMs) {
     await Promise.all(someMachines(world).map((machine) => machine.hang(forMs / 2)));
   },
-  async machinesDeaf(world, forMs) {
-    const machines = someMachines(world);
-    for (const machine of machines) machine.deaf = true;
-    await sleep(forMs);
-    for (const machine of machines) machine.deaf = false;
-  },
-  async machinesMute(world, forMs) {
-    const machines = someMachines(world);
-    for (const machine of machines) machine.mute = true;
-    await sleep(forMs);
-    for (const machine of machines) machine.mute = false;
-  },
-  async machinesSick(world, forMs) {
-    const machines = someMachines(world);
-    for (const machine of machines) machine.sick = true;
-    await sleep(forMs);
-    for (const machine of machines) machine.sick = false;
-  },
+  machinesDeaf: (world, forMs) => ail(world, forMs, "deaf"),
+  machinesMute: (world, forMs) => ail(world, forMs, "mute"),
+  machinesSick: (world, forMs) => ail(world, forMs, "sick"),
   async machinesDie(world) {
     for (const { host } of someMachines(world)) world.cloud.machines.get(host)?.stop();
   },
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -59,8 +59,8 @@
   mute = false;
   /** Every task fails as soon as it starts. */
   sick = false;
-  /** Since when it has been answered without a break; null while nothing can be asked of it. */
-  wellSince: number | null = null;
+  /** Whether its last report was answered. */
+  well = false;
   private pieces: Piece[] = [];
   private tenure = 1;
   private tick = 0;
@@ -84,7 +84,7 @@
   /** The cloud takes the machine away. */
   stop(): void {
     this.stopped = true;
-    this.wellSince = null;
+    this.well = false;
     clearTimeout(this.leaseTimer);
     this.running.clear();
   }
@@ -104,7 +104,7 @@
       const { tenure } = this;
       // An answer to a report of an earlier session is dropped, lease and all.
       const answered = !this.hung && (await this.report(tenure));
-      this.wellSince = answered ? (this.wellSince ?? sentAt) : null;
+      this.well = answered;
       if (answered && tenure === this.tenure) this.renew(sentAt);
       await sleep(answered || this.hung ? this.figures.reportMs : this.retryMs);
     }
