--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -2,7 +2,7 @@
 import type { z } from "zod";
 import { Budget } from "../runtime/budget.js";
 import type { SteadyClock } from "../runtime/clock.js";
-import { JsonHttp, NoAnswer } from "../runtime/http-client.js";
+import { NoAnswer, type JsonCalls } from "../runtime/http-client.js";
 import {
   MAX_LIST,
   catalogueSchema,
@@ -25,7 +25,7 @@
   private readonly budget: Budget;
 
   constructor(
-    private readonly http: JsonHttp,
+    private readonly http: JsonCalls,
     rps: number,
     clock: SteadyClock,
     private readonly timeoutMs: number,
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -6,18 +6,18 @@
 import { CloudClient } from "./cloud/client.js";
 import type { OperatorSettings } from "./config/operator.js";
 import type { Settings } from "./config/settings.js";
-import { createApp, type Routed } from "./http/app.js";
+import { createApp, type AppParts, type Routed } from "./http/app.js";
 import { Relay } from "./http/relay.js";
 import { JobDesk, type UserAnswer, type UserRequest } from "./http/users.js";
 import { Parting } from "./jobs/parting.js";
 import { JobService } from "./jobs/service.js";
 import { Membership } from "./membership/membership.js";
 import type { PeerReply, PeerRequest, ShareLoadNote, Summary } from "./peers/messages.js";
-import { Peers } from "./peers/links.js";
+import { Peers, type PeerNetwork } from "./peers/links.js";
 import { Share } from "./placement/share.js";
 import { ShareKeeper, type ReportAnswer } from "./placement/share-keeper.js";
-import { steadyClock } from "./runtime/clock.js";
-import { JsonHttp, parseJson } from "./runtime/http-client.js";
+import { steadyClock, type SteadyClock } from "./runtime/clock.js";
+import { JsonHttp, parseJson, type JsonCalls } from "./runtime/http-client.js";
 import type { Logger } from "./runtime/log.js";
 import { toDemandRecord } from "./sizing/demand-record.js";
 import { Sizer } from "./sizing/sizer.js";
@@ -35,6 +35,32 @@
   close(): void;
 }
 
+/** What a controller stands in: its clock and its ways to everybody else. */
+export interface Surroundings {
+  clock: SteadyClock;
+  state: JsonCalls;
+  /** Watches hold a connection each, so they must not stand in line with calls. */
+  watches: JsonCalls;
+  cloud: JsonCalls;
+  peers: PeerNetwork;
+}
+
+/** The real network, as the settings name it. */
+export function surroundingsOf(settings: Settings, log: Logger): Surroundings {
+  const { stateAddress, cloudAddress, sockets } = settings;
+  return {
+    clock: steadyClock,
+    state: new JsonHttp(stateAddress, Math.max(4, Math.floor(sockets / 50))),
+    watches: new JsonHttp(stateAddress, 2),
+    cloud: new JsonHttp(cloudAddress, 4),
+    peers: new Peers(settings.peers, peerTimeoutMs(settings), log),
+  };
+}
+
+/** Peers answer at once or not in time for a user. */
+const peerTimeoutMs = ({ workers }: Settings): number =>
+  Math.min(workers.leaseMs / 20, (REPORT_TIMEOUT_S * 1000) / 8);
+
 const NOTHING: PeerReply = { accepted: { hosts: [] } };
 
 /** The part of the state service's requests that may go to following its changes. */
@@ -60,8 +86,7 @@
     callMs: holdMs / 5,
     /** A quiet watch is answered after a report interval; past two of them something is wrong. */
     behindMs: 2 * reportMs,
-    /** Peers answer at once or not in time for a user. */
-    peerMs: Math.min(holdMs / 10, (REPORT_TIMEOUT_S * 1000) / 8),
+    peerMs: peerTimeoutMs(settings),
     feedWaitMs: reportMs,
     /** Watches of all nodes together take a part of the service's requests, but none comes more often than needed. */
     feedSpacingMs: Math.max(reportMs / 10, (controllers / (FEED_PART * rps)) * 1000),
@@ -94,7 +119,8 @@
   private readonly membership: Membership;
   private readonly fleet: Fleet;
   private readonly sizer: Sizer;
-  private readonly peers: Peers;
+  private readonly peers: PeerNetwork;
+  readonly clock: SteadyClock;
   private readonly jobs: JobService;
   private readonly desk: JobDesk;
   private readonly relay: Relay;
@@ -115,27 +141,29 @@
     private readonly settings: Settings,
     private readonly operator: OperatorSettings,
     private readonly log: Logger,
+    around: Surroundings = surroundingsOf(settings, log),
   ) {
+    const { clock } = around;
     const figures = (this.figures = deriveFigures(settings, operator));
+    this.clock = clock;
+    this.peers = around.peers;
     this.fleet = new Fleet(log);
     this.parting = new Parting(settings.teams, settings.controllers);
-    const sockets = Math.max(4, Math.floor(settings.sockets / 50));
     this.state = new StateClient(
-      new JsonHttp(settings.stateAddress, sockets),
-      new JsonHttp(settings.stateAddress, 2),
+      around.state,
+      around.watches,
       settings.state,
       settings.controllers,
-      steadyClock,
+      clock,
       figures.callMs,
     );
     const cloud = new CloudClient(
-      new JsonHttp(settings.cloudAddress, 4),
+      around.cloud,
       settings.cloud.rps,
-      steadyClock,
+      clock,
       // A call to the cloud takes a good part of a second; a lost one is sent again under the same name.
       REPORT_TIMEOUT_S * 1000,
     );
-    this.peers = new Peers(settings.peers, figures.peerMs, log);
     this.membership = new Membership(
       { node: settings.node, incarnation: randomUUID() },
       settings.controllers,
@@ -143,7 +171,7 @@
       figures,
       this.state,
       this.replica,
-      steadyClock,
+      clock,
       {
         ownership: () => this.followOwnership(),
         askHandOver: (owner, share, to) =>
@@ -158,7 +186,7 @@
       this.state,
       this.replica,
       this.fleet,
-      steadyClock,
+      clock,
       {
         leadership: () => this.membership.leadership(),
         askOwner: (share, request) => this.askNode(this.membership.owner(share), request),
@@ -183,33 +211,48 @@
       ask: (peer, request) => this.forward(peer, request),
       behind: () => this.behind(),
       pauseMs: figures.peerMs,
-      clock: steadyClock,
+      clock,
       log,
     });
     this.replica.onChange((changes) => this.follow(changes));
   }
 
-  async start(): Promise<Running> {
+  /** What users, workers and health checks reach. */
+  get door(): AppParts {
+    return {
+      users: this.relay,
+      report: (report) => this.routeReport(report),
+      healthy: () => this.healthy(),
+      log: this.log,
+    };
+  }
+
+  /** Follows the records and acts on them from now on; the answer ends that. */
+  begin(): () => void {
     const { figures } = this;
     const pace = {
       waitMs: figures.feedWaitMs,
       spacingMs: figures.feedSpacingMs,
       retryMs: figures.feedSpacingMs * 4,
     };
-    const feed = changeFeed(this.state, { whole: LIVE, followed: ROOT }, pace, steadyClock, this.log);
+    const feed = changeFeed(this.state, { whole: LIVE, followed: ROOT }, pace, this.clock, this.log);
     pipeline(feed, this.replica, (err) => {
       if (err && this.ticker !== null) this.log.error({ err }, "the feed of records ended");
     });
     this.ticker = setInterval(() => this.tick(), figures.tickMs);
     this.membership.tell({ kind: "tick" });
+    return () => {
+      if (this.ticker !== null) clearInterval(this.ticker);
+      this.ticker = null;
+      feed.destroy();
+      this.peers.close();
+    };
+  }
+
+  async start(): Promise<Running> {
+    const end = this.begin();
     const peerPort = await this.peers.listen(this.settings.peerListen, (request) => this.answerPeer(request));
-    const app = createApp({
-      users: this.relay,
-      report: (report) => this.routeReport(report),
-      healthy: () => this.healthy(),
-      log: this.log,
-    });
-    const server = createServer(app.callback());
+    const server = createServer(createApp(this.door).callback());
     // Users and workers keep their connections; closing them between two polls costs both sides.
     server.keepAliveTimeout = 2 * this.settings.workers.cancelMs;
     const colon = this.settings.listen.lastIndexOf(":");
@@ -227,10 +270,7 @@
       port,
       peerPort,
       close: () => {
-        if (this.ticker !== null) clearInterval(this.ticker);
-        this.ticker = null;
-        feed.destroy();
-        this.peers.close();
+        end();
         server.closeAllConnections();
         server.close();
       },
@@ -239,7 +279,7 @@
 
   /** Whether the records have not been followed for longer than a quiet watch stays open. */
   private behind(): boolean {
-    return steadyClock() - this.replica.asOf > this.figures.behindMs;
+    return this.clock() - this.replica.asOf > this.figures.behindMs;
   }
 
   /**
@@ -249,7 +289,7 @@
   private healthy(): boolean {
     if (this.replica.asOf === -Infinity) return false;
     if (!this.behind() || this.settings.peers.length === 0) return true;
-    return steadyClock() - this.peers.heardAt < this.figures.behindMs;
+    return this.clock() - this.peers.heardAt < this.figures.behindMs;
   }
 
   private async forward(peer: string, { method, path, body }: UserRequest): Promise<UserAnswer> {
@@ -269,7 +309,7 @@
 
   /** Whether this node is of any use without the records is for its peers' answers to show: see `healthy`. */
   private pingPeers(): void {
-    const now = steadyClock();
+    const now = this.clock();
     if (now - this.lastPing < this.figures.behindMs / 4) return;
     this.lastPing = now;
     for (const { node } of this.settings.peers) this.peers.ask(node, { ping: {} }).catch(() => undefined);
@@ -317,7 +357,7 @@
     const share = new Share(
       n,
       token,
-      steadyClock(),
+      this.clock(),
       this.settings,
       () => this.typesByName,
       this.replica,
@@ -340,7 +380,7 @@
       this.state,
       this.replica,
       this.fleet,
-      steadyClock,
+      this.clock,
       hooks,
       this.log,
     );
@@ -360,7 +400,7 @@
 
   /** The leader cannot be reached, or not by us: it may still read the records. */
   private leaveSummary(summary: Summary): void {
-    const now = steadyClock();
+    const now = this.clock();
     const { share, token } = summary;
     if (now - (this.leftAt.get(share) ?? -Infinity) < 2 * this.operator.passSpacingMs) return;
     this.leftAt.set(share, now);
@@ -375,7 +415,7 @@
     return node === null ? Promise.resolve(NOTHING) : this.peers.ask(node, request);
   }
 
-  private async answerPeer(request: PeerRequest): Promise<PeerReply> {
+  async answerPeer(request: PeerRequest): Promise<PeerReply> {
     if ("summary" in request) {
       this.noteLoad(request.summary);
       await this.sizer.ask<boolean>((reply) => ({ kind: "summary", summary: request.summary, reply }));
@@ -451,7 +491,7 @@
   private noteAstray(share: number, report: WorkerReport): void {
     const owner = this.membership.owner(share);
     if (owner === null || report.token !== this.membership.cluster.shares[share]?.version) return;
-    const now = steadyClock();
+    const now = this.clock();
     if (now - (this.astrayAt.get(share) ?? -Infinity) < this.figures.astrayMs) return;
     this.astrayAt.set(share, now);
     this.askNode(owner, { astray: { share, cameTo: this.settings.node } }).catch(() => undefined);
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -84,7 +84,17 @@
   }
 }
 
-export class Peers {
+/** How a controller speaks with the others. */
+export interface PeerNetwork {
+  ask(node: string, request: PeerRequest, timeoutMs?: number): Promise<PeerReply>;
+  /** When any peer last answered anything; steady time. */
+  readonly heardAt: number;
+  /** Answers the others' questions from now on; resolves to the port. */
+  listen(address: string, handler: PeerHandler): Promise<number>;
+  close(): void;
+}
+
+export class Peers implements PeerNetwork {
   private readonly links: Map<string, PeerLink>;
   private server: Server | null = null;
   private readonly sockets = new Set<Socket>();
@@ -103,7 +113,6 @@
     return link.ask(request, timeoutMs);
   }
 
-  /** When any peer last answered anything; steady time. */
   get heardAt(): number {
     return Math.max(...[...this.links.values()].map((link) => link.heardAt));
   }
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -262,6 +262,9 @@
       case "done":
         machine.failedJobs.clear();
         job.failures = 0;
+        // Guards against writing the end of a job that was cancelled while its last task ended: its record is gone, and
+        // the transaction would fail again and again, with those of all the jobs that are written together with it.
+        if (job.closing) return;
         if (!this.dirty.has(job)) this.dirty.set(job, new Set());
         this.dirty.get(job)!.add(index);
         return;
@@ -529,10 +532,16 @@
         this.progress.drop(id);
         this.log.info({ job: id }, "job done");
       },
-      lost: () => this.dropJob(id),
+      lost: () => this.loseJob(job),
     };
   }
 
+  /** What was to be written of a job whose record is gone is never tried again, or it would take others with it. */
+  private loseJob(job: Job): void {
+    this.dirty.delete(job);
+    this.dropJob(job.spec.id);
+  }
+
   private chunks(job: Job, indexes: Set<number>, room: number): Completion {
     const { id } = job.spec;
     const chunks = [...new Set([...indexes].map((i) => Math.floor(i / CHUNK_TASKS)))].slice(
@@ -545,7 +554,7 @@
       guards: [{ key: keys.job(id), version: job.version }],
       writes: chunks.map((c) => ({ put: keys.done(id, c), value: { bits: job.done.encodeChunk(c) } })),
       durable: () => this.nowDurable(job, indexes, written),
-      lost: () => this.dropJob(id),
+      lost: () => this.loseJob(job),
     };
   }
 
--- a/src/runtime/http-client.ts
+++ b/src/runtime/http-client.ts
@@ -9,9 +9,14 @@
 /** No usable answer came. The request may have been executed, or may still be. */
 export class NoAnswer extends Error {}
 
+/** JSON calls to one service, over whatever network. */
+export interface JsonCalls {
+  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer>;
+}
+
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
-export class JsonHttp {
+export class JsonHttp implements JsonCalls {
   private readonly agent: Agent;
   private readonly host: string;
   private readonly port: number;
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -4,7 +4,7 @@
  */
 import type { SteadyClock } from "../runtime/clock.js";
 import { Gate } from "../runtime/gate.js";
-import { JsonHttp, NoAnswer, type HttpAnswer } from "../runtime/http-client.js";
+import { NoAnswer, type HttpAnswer, type JsonCalls } from "../runtime/http-client.js";
 import { jittered, sleep } from "../runtime/wait.js";
 import { NO_SUCH_KEY } from "./keys.js";
 import {
@@ -87,9 +87,9 @@
   readonly txnOps: number;
 
   constructor(
-    private readonly http: JsonHttp,
+    private readonly http: JsonCalls,
     /** Watches hold a connection each, so they must not stand in line with calls. */
-    private readonly watchHttp: JsonHttp,
+    private readonly watchHttp: JsonCalls,
     private readonly limits: StateLimits,
     private readonly controllers: number,
     private readonly clock: SteadyClock,
@@ -207,7 +207,7 @@
     path: string,
     body: unknown,
     expected: number[],
-    http: JsonHttp,
+    http: JsonCalls,
     timeoutMs: number,
   ): Promise<HttpAnswer> {
     let answer: HttpAnswer;
--- /dev/null
+++ b/test/meetings.test.ts
@@ -0,0 +1,27 @@
+/** What happens where two troubles meet: whole deployments in simulated time, watched from the workers' and users' side. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Simulation } from "./support/simulation.js";
+import { meet } from "./support/troubles.js";
+import { TEAMS, work } from "./support/workload.js";
+
+/** Within this of the end of all troubles all that was accepted is done. */
+const CLEARED_MS = 600_000;
+
+/** How many mixtures are played; more of them can be asked for by hand. */
+const [FIRST = 1, LAST = 16] = (process.env.MIXTURES ?? "").split("-").filter(Boolean).map(Number);
+
+for (let seed = FIRST; seed <= LAST; seed++)
+  test(`troubles that meet by chance break no rule, and all that was accepted ends: mixture ${seed}`, async () => {
+    const world = await Simulation.start(3, seed, { teams: TEAMS });
+    try {
+      await world.run(10_000);
+      let met: string[] | null = null;
+      void meet(world, 10, 90_000).then((names) => (met = names));
+      await work(world, () => met !== null);
+      await world.runUntil(() => world.open().length === 0, CLEARED_MS);
+      assert.deepEqual({ broken: world.broken, open: world.open() }, { broken: [], open: [] }, String(met));
+    } finally {
+      world.close();
+    }
+  });
--- /dev/null
+++ b/test/support/simulation.ts
@@ -0,0 +1,506 @@
+/**
+ * A whole deployment in one process and in simulated time: real controllers, and the stand-ins for all that is around
+ * them. Luck is seeded, so that a run repeats. What the rules forbid is noted from the workers' and the users' side.
+ */
+import { mock } from "node:test";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Controller } from "../../src/controller.js";
+import { readOperatorSettings } from "../../src/config/operator.js";
+import type { OperatorSettings } from "../../src/config/operator.js";
+import type { Settings } from "../../src/config/settings.js";
+import { NoAnswer, type HttpAnswer, type JsonCalls } from "../../src/runtime/http-client.js";
+import { PeerSilent, type PeerNetwork } from "../../src/peers/links.js";
+import type { PeerReply, PeerRequest } from "../../src/peers/messages.js";
+import { parseReport, redirectToWire } from "../../src/wire/index.js";
+import { Cloud } from "./cloud.js";
+import { submission, type Answer } from "./cluster.js";
+import { silent } from "./records.js";
+import { testSettings, type SettingsOptions } from "./settings.js";
+import { StateStore } from "./state-service.js";
+import type { WorkerFigures, WorkerStandIn } from "./worker.js";
+
+/** All clocks move on in steps of so much. */
+const STEP_MS = 10;
+/** Within this of the start and the end of a task's run nothing is asked of what users are told. */
+const USER_WAIT_MS = 2000;
+const POLL_MS = 5000;
+const RETRY_MS = 1000;
+
+/** One life of a controller: what it began goes nowhere once it is over. */
+interface Life {
+  alive: boolean;
+  controller: Controller;
+  end(): void;
+}
+
+export interface Told {
+  stage: string;
+  at: number;
+}
+
+/** A job as its user knows it. */
+export class UserJob {
+  accepted = false;
+  refusedWith = 0;
+  cancelAsked = false;
+  cancelledAt: number | null = null;
+  done = false;
+  /** When a question was last answered. */
+  answeredAt = -Infinity;
+  readonly completed = new Set<string>();
+
+  constructor(
+    readonly id: string,
+    readonly body: Record<string, unknown>,
+  ) {}
+
+  get over(): boolean {
+    return this.done || this.cancelledAt !== null;
+  }
+}
+
+/** What a controller can be cut off from. */
+export interface Cuts {
+  state: boolean;
+  peers: boolean;
+  workers: boolean;
+}
+
+export class SimulatedNode {
+  life: Life | null = null;
+  readonly cut: Cuts = { state: false, peers: false, workers: false };
+
+  constructor(
+    readonly name: string,
+    readonly index: number,
+  ) {}
+}
+
+export class Simulation {
+  now = 0;
+  readonly store = new StateStore();
+  readonly cloud: Cloud;
+  readonly nodes: SimulatedNode[];
+  readonly jobs = new Map<string, UserJob>();
+  /** What went against the rules. */
+  readonly broken: string[] = [];
+  /** Starts after the user had been told that the job is cancelled: allowed for a while, and useless. */
+  lateStarts = 0;
+  readonly workers: WorkerFigures;
+  readonly settings: Settings;
+  /** The part of the transactions that get no answer and are carried out seconds later. */
+  lateWrites = 0;
+  stateLatencyMs = 4;
+  private readonly luck: ReturnType<typeof xoroshiro128plus>;
+
+  private constructor(
+    count: number,
+    seed: number,
+    private readonly options: SettingsOptions,
+    private readonly operator: OperatorSettings,
+    workers: Partial<WorkerFigures>,
+  ) {
+    this.luck = xoroshiro128plus(seed);
+    mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"], now: 1_700_000_000_000 });
+    mock.method(Math, "random", () => this.chance());
+    this.nodes = Array.from({ length: count }, (_, i) => new SimulatedNode(`node-${i}`, i));
+    this.settings = this.settingsOf(this.nodes[0]!);
+    const { reportMs, leaseMs } = this.settings.workers;
+    const figures = { bootMs: 2000, runMs: 20_000, timeoutMs: 4000, retryMs: RETRY_MS };
+    this.workers = { reportMs, leaseMs, ...figures, ...workers };
+    this.cloud = new Cloud(
+      {
+        controllers: this.nodes.map((n) => n.name),
+        clock: () => this.now,
+        send: (node, text, timeoutMs) => this.report(this.nodes[node]!, text, timeoutMs),
+      },
+      this.workers,
+      { started: (piece, worker) => this.started(piece, worker), completed: (piece) => this.finished(piece) },
+    );
+  }
+
+  static async start(
+    count: number,
+    seed: number,
+    options: SettingsOptions = {},
+    workers: Partial<WorkerFigures> = {},
+  ): Promise<Simulation> {
+    const world = new Simulation(count, seed, options, await readOperatorSettings(undefined), workers);
+    for (const node of world.nodes) world.launch(node);
+    return world;
+  }
+
+  close(): void {
+    for (const node of this.nodes) this.crash(node);
+    this.cloud.close();
+    this.store.close();
+    mock.timers.reset();
+    mock.restoreAll();
+  }
+
+  chance(): number {
+    return (this.luck.next() >>> 0) / 2 ** 32;
+  }
+
+  pick(below: number): number {
+    return Math.floor(this.chance() * below);
+  }
+
+  // --- time
+
+  async run(ms: number): Promise<void> {
+    const until = this.now + ms;
+    while (this.now < until) {
+      mock.timers.tick(STEP_MS);
+      this.now += STEP_MS;
+      await settled();
+      if (this.now % (50 * STEP_MS) === 0) this.watchCancelled();
+    }
+  }
+
+  async runUntil(met: () => boolean, mostMs: number): Promise<boolean> {
+    const until = this.now + mostMs;
+    while (!met() && this.now < until) await this.run(10 * STEP_MS);
+    return met();
+  }
+
+  private delay(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+
+  // --- controllers
+
+  private settingsOf(node: SimulatedNode): Settings {
+    const others = this.nodes.filter((n) => n !== node);
+    const peers = others.map((n) => ({ node: n.name, address: "127.0.0.1:1" }));
+    return testSettings({ controllers: this.nodes.length, ...this.options, node: node.name, peers });
+  }
+
+  launch(node: SimulatedNode): void {
+    this.crash(node);
+    const life: Partial<Life> = { alive: true };
+    // Each process has a steady clock of its own, which drifts as much as is allowed.
+    const drift = 1 + (this.chance() - 0.5) * 0.001;
+    const since = this.now;
+    const state = this.caller(
+      life,
+      () => !node.cut.state,
+      (method, path, body) => this.askState(node.index, method, path, body),
+    );
+    const around = {
+      clock: () => (this.now - since) * drift,
+      state,
+      watches: state,
+      cloud: this.caller(
+        life,
+        () => true,
+        async (method, path, body) => {
+          await this.delay(200);
+          return this.cloud.handle(method, new URL(path, "http://cloud"), body);
+        },
+      ),
+      peers: this.peersOf(node, life),
+    };
+    life.controller = new Controller(this.settingsOf(node), this.operator, silent, around);
+    life.end = life.controller.begin();
+    node.life = life as Life;
+  }
+
+  crash(node: SimulatedNode): void {
+    if (node.life === null) return;
+    node.life.alive = false;
+    node.life.end();
+    node.life = null;
+  }
+
+  /** The live owner of a share, as the records have it. */
+  ownerOf(share: number): SimulatedNode | undefined {
+    const record = this.store.value(`fernpond/live/shares/${share}`) as { node: string } | undefined;
+    return this.nodes.find((n) => n.name === record?.node);
+  }
+
+  leader(): SimulatedNode | undefined {
+    const record = this.store.value("fernpond/live/leader") as { node: string } | undefined;
+    return this.nodes.find((n) => n.name === record?.node);
+  }
+
+  /** One exchange of messages: both ways can be cut, and what a life has begun ends with it. */
+  private exchange<T>(
+    life: Partial<Life>,
+    reachable: () => boolean,
+    work: () => T | Promise<T>,
+    timeoutMs: number,
+    silence: () => Error,
+  ): Promise<T> {
+    return new Promise((resolve, reject) => {
+      if (!life.alive) return;
+      const timer = setTimeout(() => {
+        if (life.alive) reject(silence());
+      }, timeoutMs);
+      const carry = async (): Promise<void> => {
+        await this.delay(1);
+        if (!life.alive || !reachable()) return;
+        const result = await work();
+        await this.delay(1);
+        if (!life.alive || !reachable()) return;
+        clearTimeout(timer);
+        resolve(result);
+      };
+      carry().catch(reject);
+    });
+  }
+
+  /** A request from outside, to which a life that ends meanwhile gives no answer. */
+  private visit<T>(
+    life: Life,
+    reachable: () => boolean,
+    work: () => Promise<T>,
+    timeoutMs: number,
+  ): Promise<T> {
+    const answering = (): boolean => life.alive && reachable();
+    return this.exchange(OUTSIDE, answering, work, timeoutMs, () => new Error("no answer"));
+  }
+
+  private caller(
+    life: Partial<Life>,
+    reachable: () => boolean,
+    work: (method: string, path: string, body: unknown) => Reply,
+  ): JsonCalls {
+    return {
+      call: (method, path, body, timeoutMs) =>
+        this.exchange<HttpAnswer>(
+          life,
+          reachable,
+          async () => {
+            const { status, body: said } = await work(method, path, copied(body));
+            return { status, body: copied(said) };
+          },
+          timeoutMs,
+          () => new NoAnswer(`${method} ${path}: timed out`),
+        ),
+    };
+  }
+
+  private async askState(node: number, method: string, path: string, body: unknown): Reply {
+    await this.delay(this.stateLatencyMs * (0.5 + this.chance()));
+    const late = path === "/multi" && this.chance() < this.lateWrites;
+    if (!late) return this.store.handle(node, method, new URL(path, "http://state"), body);
+    await this.delay(2000 + this.chance() * 10_000);
+    this.store.carryOut(body);
+    return new Promise(() => undefined);
+  }
+
+  private peersOf(node: SimulatedNode, life: Partial<Life>): PeerNetwork {
+    const network = {
+      heardAt: -Infinity,
+      listen: () => Promise.resolve(0),
+      close: () => undefined,
+      ask: async (name: string, request: PeerRequest, timeoutMs = 500): Promise<PeerReply> => {
+        const peer = this.nodes.find((n) => n.name === name)!;
+        const reachable = (): boolean => !node.cut.peers && !peer.cut.peers && peer.life !== null;
+        const ask = (): Promise<PeerReply> => peer.life!.controller.answerPeer(structuredClone(request));
+        const silence = (): Error => new PeerSilent(name);
+        const reply = await this.exchange(life, reachable, ask, timeoutMs, silence);
+        network.heardAt = life.controller!.clock();
+        return structuredClone(reply);
+      },
+    };
+    return network;
+  }
+
+  // --- workers
+
+  private report(
+    node: SimulatedNode,
+    text: string,
+    timeoutMs: number,
+  ): Promise<{ status: number; body: unknown }> {
+    const { life } = node;
+    if (life === null) return Promise.reject(new Error("refused"));
+    const work = async (): Promise<{ status: number; body: unknown }> => {
+      const parsed = parseReport(JSON.parse(text));
+      if (!parsed.ok) return { status: 400, body: {} };
+      const routed = await life.controller.door.report(parsed.value);
+      return routed.kind === "commands"
+        ? { status: 200, body: copied(routed.body) }
+        : { status: 421, body: redirectToWire(routed.owner) };
+    };
+    return this.visit(life, () => !node.cut.workers, work, timeoutMs);
+  }
+
+  private jobOf(piece: string): UserJob | undefined {
+    return this.jobs.get(piece.slice(0, piece.indexOf("/")));
+  }
+
+  /** The rules that can be broken by a start. */
+  private started(piece: string, worker: WorkerStandIn): void {
+    const job = this.jobOf(piece)!;
+    if (job.cancelledAt !== null) this.lateStarts++;
+    const onAnother = [...this.cloud.machines.values()].some((w) => w !== worker && w.running.has(piece));
+    if (onAnother) this.note(`ran_twice: ${piece}`);
+    this.checkQuota(String(job.body.crew));
+    this.checkPlace(job, piece, worker);
+  }
+
+  private checkQuota(team: string): void {
+    const limit = this.settings.teams.find((t) => t.name === team)?.cpusMax ?? 0;
+    let used = 0;
+    for (const worker of this.cloud.machines.values())
+      for (const piece of worker.running) {
+        const job = this.jobOf(piece)!;
+        if (job.body.crew === team) used += Number(job.body.vcpus);
+      }
+    if (limit > 0 && used > limit + 1e-9) this.note(`quota: ${team} uses ${used} of ${limit}`);
+  }
+
+  private checkPlace(job: UserJob, piece: string, worker: WorkerStandIn): void {
+    const { bank, together, spread, loaners, pieces } = job.body;
+    const zones = new Map<string, number>();
+    for (const { running, zone } of this.cloud.machines.values())
+      for (const other of running)
+        if (other !== piece && this.jobOf(other) === job) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    const elsewhere = [...zones.keys()].some((zone) => zone !== worker.zone);
+    const crowded = (zones.get(worker.zone) ?? 0) + 1 > Math.ceil(Number(pieces) / 2);
+    if (bank && bank !== worker.zone) this.note(`wrong_place: ${piece} outside its zone`);
+    if (worker.spot && loaners === false) this.note(`wrong_place: ${piece} on a cheap machine`);
+    if (together === true && elsewhere) this.note(`wrong_place: ${piece} apart from its job`);
+    if (spread === true && crowded) this.note(`wrong_place: ${piece} where half of its job is`);
+  }
+
+  private finished(piece: string): void {
+    this.jobOf(piece)!.completed.add(piece);
+  }
+
+  /** A cancelled job's tasks are gone in time, whoever confirmed it. */
+  private watchCancelled(): void {
+    const { cancelMs } = this.settings.workers;
+    for (const worker of this.cloud.machines.values())
+      for (const piece of worker.running) {
+        const { cancelledAt } = this.jobOf(piece)!;
+        if (cancelledAt !== null && this.now > cancelledAt + cancelMs) this.note(`ran_cancelled: ${piece}`);
+      }
+  }
+
+  private note(what: string): void {
+    if (!this.broken.includes(what)) this.broken.push(what);
+  }
+
+  // --- users
+
+  /** One request to one controller; status 0 if it does not answer. */
+  async ask(node: SimulatedNode, method: string, path: string, body?: unknown): Promise<Answer> {
+    const { life } = node;
+    if (life === null) return { status: 0, body: {} };
+    const work = (): Promise<{ status: number; body: object }> =>
+      life.controller.door.users.answer({ method, path, body: copied(body) });
+    const patienceMs = method === "GET" ? USER_WAIT_MS : 5000;
+    try {
+      const answer = await this.visit(life, () => true, work, patienceMs);
+      return { status: answer.status, body: copied(answer.body) as Record<string, unknown> };
+    } catch {
+      return { status: 0, body: {} };
+    }
+  }
+
+  /** A controller that is up, as the load balancer would choose it. */
+  private anyNode(): SimulatedNode {
+    const up = this.nodes.filter((n) => n.life?.controller.door.healthy());
+    return up[this.pick(up.length)] ?? this.nodes[this.pick(this.nodes.length)]!;
+  }
+
+  /** A user submits a job, and asks after it until it is over. */
+  submit(id: string, over: Record<string, unknown> = {}): UserJob {
+    const job = new UserJob(id, submission(id, over));
+    this.jobs.set(id, job);
+    void this.follow(job);
+    return job;
+  }
+
+  private async follow(job: UserJob): Promise<void> {
+    while (!job.accepted) {
+      const { status, body } = await this.ask(this.anyNode(), "POST", "/work", job.body);
+      if (status === 201 || status === 200) {
+        job.accepted = true;
+        this.hear(job, body);
+      } else if (status === 400 || status === 422) {
+        job.refusedWith = status;
+        return;
+      } else await this.delay(RETRY_MS);
+    }
+    job.answeredAt = this.now;
+    while (!job.over) {
+      await this.delay(POLL_MS * (0.8 + 0.4 * this.chance()));
+      await this.look(job);
+    }
+  }
+
+  /** One question after a job, to a given controller or to any. */
+  async look(job: UserJob, node = this.anyNode()): Promise<Answer> {
+    const before = { completed: job.completed.size, over: job.over };
+    const answer = await this.ask(node, "GET", `/work/${job.id}`);
+    if (answer.status === 404 && job.accepted) this.note(`forgotten: ${job.id}`);
+    if (answer.status === 200) this.hear(job, answer.body, before.over);
+    return answer;
+  }
+
+  /** A user calls a job off, and repeats that until it is confirmed. */
+  async cancel(job: UserJob, node?: SimulatedNode): Promise<void> {
+    job.cancelAsked = true;
+    while (!job.over) {
+      const asked = node?.life ? node : this.anyNode();
+      const { status, body } = await this.ask(asked, "POST", `/work/${job.id}/withdraw`);
+      if (status === 404 && job.accepted) this.note(`forgotten: ${job.id}`);
+      if (status === 200) this.hear(job, body);
+      else await this.delay(RETRY_MS);
+    }
+  }
+
+  /** A user submits once more what was accepted, and whoever asks after nothing learns that there is nothing. */
+  async repeat(job: UserJob): Promise<void> {
+    const { over } = job;
+    const { status, body } = await this.ask(this.anyNode(), "POST", "/work", job.body);
+    if (status === 400 || status === 422 || status === 404) this.note(`forgotten: ${job.id} gets ${status}`);
+    if (status === 201) this.note(`forgotten: ${job.id} accepted anew`);
+    if (status === 200) this.hear(job, body, over);
+  }
+
+  /** A request that must not be accepted. */
+  async odd(body: Record<string, unknown>, wanted: number): Promise<void> {
+    const node = this.anyNode();
+    const { status } = await this.ask(node, "POST", "/work", body);
+    if (status !== wanted && status !== 503 && status !== 0) this.note(`accepted: ${status} for ${wanted}`);
+    const look = await this.ask(node, "GET", `/work/${String(body.nameId)}`);
+    if (look.status === 200) this.note(`invented: ${String(body.nameId)}`);
+  }
+
+  /** What a user was told: never less than another was told before. */
+  private hear(job: UserJob, { stage }: Record<string, unknown>, wasOver = job.over): void {
+    job.answeredAt = this.now;
+    if (stage === "done") {
+      if (job.cancelledAt !== null) this.note(`went_back: ${job.id} cancelled, then done`);
+      if (job.completed.size < Number(job.body.pieces)) this.note(`not_done: ${job.id}`);
+      job.done = true;
+    } else if (stage === "aborted") {
+      if (job.done) this.note(`went_back: ${job.id} done, then cancelled`);
+      if (!job.cancelAsked) this.note(`went_back: ${job.id} cancelled by nobody`);
+      job.cancelledAt ??= this.now;
+    } else if (wasOver) this.note(`went_back: ${job.id} over, then ${String(stage)}`);
+  }
+
+  /** Jobs that are neither done nor cancelled. */
+  open(): string[] {
+    return [...this.jobs.values()].filter((j) => !j.over && j.refusedWith === 0).map((j) => j.id);
+  }
+}
+
+/** Users and workers live on whatever becomes of a controller. */
+const OUTSIDE: Partial<Life> = { alive: true };
+
+type Reply = Promise<{ status: number; body?: unknown }>;
+
+const copied = <T>(value: T): T => (value === undefined ? value : (JSON.parse(JSON.stringify(value)) as T));
+
+/** Lets everything that is ready happen: promises, streams and what they lead to. */
+async function settled(): Promise<void> {
+  for (let i = 0; i < 2; i++) await new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/test/support/workload.ts
@@ -0,0 +1,50 @@
+/** Users who submit whatever they may: jobs of all shapes, teams and ranks. */
+import type { Simulation } from "./simulation.js";
+
+/** Teams without a limit, with one, and with one that is soon reached. */
+export const TEAMS = `
+[[settings.teams]]
+name = "free"
+[[settings.teams]]
+name = "capped"
+cpus = 8.0
+cpus_max = 24.0
+[[settings.teams]]
+name = "tight"
+cpus = 4.0
+cpus_max = 8.0`;
+
+const SHAPES = [
+  {},
+  {},
+  { pieces: 2 },
+  { together: true },
+  { spread: true },
+  { bank: "north" },
+  { bank: "south" },
+  { loaners: false },
+  { breeds: ["small"] },
+];
+
+function oneOf<T>(world: Simulation, values: readonly T[]): T {
+  return values[world.pick(values.length)]!;
+}
+
+/** Jobs come, a few seconds apart, for as long as is said; most tasks are short, some long. */
+export async function work(world: Simulation, until: () => boolean, most = 60): Promise<void> {
+  const runs = (world.workers.runOf ??= new Map<string, number>());
+  for (let i = 0; !until(); i++) {
+    if (i < most) {
+      const id = `req-${i}`;
+      runs.set(id, 1000 + world.chance() ** 2 * 30_000);
+      world.submit(id, {
+        pieces: 1 + world.pick(12),
+        crew: oneOf(world, ["free", "capped", "tight"]),
+        vcpus: oneOf(world, [0.5, 1, 2, 3]),
+        rank: oneOf(world, ["best_effort", "normal", "urgent", "critical"]),
+        ...oneOf(world, SHAPES),
+      });
+    }
+    await world.run(500 + world.chance() * 4000);
+  }
+}
