--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -23,6 +23,8 @@
   resumeAt: string | null;
   /** Machines held back for a job that has waited too long, and the job that each waits for. */
   kept: ReadonlyMap<Machine, Job>;
+  /** Machines on which tasks were stopped for a job, until it has had the time to start there. */
+  reserved: ReadonlyMap<Machine, Job>;
 }
 
 export interface Round {
@@ -148,7 +150,7 @@
     unseen: unseenUsage(input.machines, input.types),
     rooms,
     starts: [],
-    kept: new Map(),
+    kept: new Map(input.reserved),
     steps: 0,
   };
 }
@@ -182,7 +184,7 @@
   /** Whether so many machines have the job's image that its tasks need not go to others. */
   atHome: (job: Job) => boolean,
 ): Round {
-  const kept = new Map(input.kept);
+  const kept = new Map([...input.kept, ...input.reserved]);
   const rooms = openRooms(input, [machine]);
   // Most machines that speak are full: what else the decision takes is not added up for them.
   if (rooms.length === 0) return { starts: [], resumeAt: null, kept, steps: 0 };
@@ -294,6 +296,8 @@
 
 function placeJob(job: Job, offer: Offer, team: Team | undefined, used: Usage): void {
   if (!underLimit(team, used, offer.unseen, job.spec)) return;
+  // Guards against a faulty job that fills machine after machine with tasks that fail: one is enough to tell.
+  if (job.suspect && job.active.size > 0) return;
   const open: { room: Room; score: number }[] = [];
   for (const room of offer.rooms) {
     offer.steps++;
@@ -321,6 +325,7 @@
       used.cpus += job.spec.cpus;
       used.gpus += job.spec.gpus;
       if (zones !== null) countZone(zones, room.machine);
+      if (job.suspect) return;
     }
   }
 }
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -4,7 +4,7 @@
  */
 import type { Team } from "../config/settings.js";
 import type { SteadyClock } from "../runtime/clock.js";
-import { PRIORITIES } from "../wire/index.js";
+import { PRIORITIES, type MachineType } from "../wire/index.js";
 import type { Job, Machine, Placement } from "../workers/model.js";
 import { endsIn } from "./forecast.js";
 import {
@@ -38,16 +38,22 @@
   reportMs: number;
 }
 
+export interface Preemption {
+  victims: Placement[];
+  /** The machines on which room is made, and for which job. */
+  reserved: Map<Machine, Job>;
+}
+
 /** What is not decided by the deadline is left to the next round, which finds it again. */
 export function choosePreemptions(
   input: PreemptInput,
   clock: SteadyClock = () => 0,
   deadline = Infinity,
-): Placement[] {
+): Preemption {
+  const chosen: Preemption = { victims: [], reserved: new Map() };
   const jobs = [...input.jobs];
   const waiting = jobs.filter((job) => job.waiting > 0 && startable(job, input) && cannotWait(job, input));
-  if (waiting.length === 0) return [];
-  const chosen: Placement[] = [];
+  if (waiting.length === 0) return chosen;
   const usage = teamUsage(jobs);
   const unseen = unseenUsage(input.machines, input.types);
   const rooms = roomsAfterEnds(input, usage);
@@ -60,7 +66,9 @@
   );
   for (const job of waiting.sort((a, b) => place.get(a)! - place.get(b)!)) {
     const team = input.teams.find((t) => t.name === job.spec.team);
-    const open = rooms.filter((room) => allows(job, room.machine));
+    const open = rooms.filter(
+      ({ machine }) => allows(job, machine) && (input.reserved.get(machine) ?? job) === job,
+    );
     const zones = zonesOf(job);
     for (let left = job.waiting; left > 0; left--) {
       if (clock() > deadline) return chosen;
@@ -71,8 +79,9 @@
         add(room, victim.job.spec, 1);
         add(usage.get(victim.job.spec.team)!, victim.job.spec, -1);
         room.victims.splice(room.victims.indexOf(victim), 1);
-        chosen.push(victim);
+        chosen.victims.push(victim);
       }
+      if (plan.victims.length > 0) chosen.reserved.set(plan.room.machine, job);
       add(plan.room, job.spec, -1);
       add(usage.get(job.spec.team)!, job.spec, 1);
       countZone(zones, plan.room.machine);
@@ -90,8 +99,7 @@
     const room: Room = { machine, cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb, victims: [] };
     for (const placement of machine.placements) {
       const { spec } = placement.job;
-      const soon = spec.saveS * 1000 + 2 * input.reportMs;
-      if (placement.stop !== null || placement.job.closing || endsIn(placement, type, input) <= soon) {
+      if (placement.stop !== null || placement.job.closing || endsSoon(placement, type, input)) {
         add(usage.get(spec.team)!, spec, -1);
         continue;
       }
@@ -105,6 +113,16 @@
   return rooms;
 }
 
+/**
+ * Whether it ends about as soon as a stopped task would. Guards against counting on the end of a task that has outrun
+ * its estimate: others would be stopped beside it, again and again, for room that does not come.
+ */
+function endsSoon(placement: Placement, type: MachineType, input: PreemptInput): boolean {
+  const { state, since, job } = placement;
+  if (state === "running" && input.now - since > expectedRunMs(job, input)) return false;
+  return endsIn(placement, type, input) <= job.spec.saveS * 1000 + 2 * input.reportMs;
+}
+
 /** Whether a rented machine would come too late for the job. */
 function cannotWait(job: Job, input: PreemptInput): boolean {
   return rank(job) >= URGENT || latestStart(job, input) - input.wallNow < rentMs(job, input);
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -13,6 +13,7 @@
 import { keys, prefixes } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 import {
+  BESIDE_ROOM_S,
   CLOCK_DRIFT,
   type Change,
   type Command,
@@ -28,6 +29,7 @@
 import { orderByUrgency, type Turn } from "./urgency.js";
 import { choosePreemptions } from "./preempt.js";
 import {
+  allows,
   placeOn,
   placeRound,
   slotsOn,
@@ -44,6 +46,12 @@
 const ATTEMPTS_PER_TOKEN = 2 ** 20;
 /** A job that fails on so many machines is at fault itself. */
 const FAULTY_JOB_MACHINES = 3;
+/** So many report intervals a machine is kept for the job for which tasks were stopped there. */
+const RESERVED_REPORTS = 3;
+/** The longest that a faulty job is not tried, as a part of the time that nobody waits beside room. */
+const MOST_BACK_OFF = 2 / 3;
+/** So many leases after a failure the job may be tried on that machine again. */
+const FORGIVEN_LEASES = 2;
 /** A machine on which so many jobs fail, with no success between, is at fault itself. */
 const FAULTY_MACHINE_JOBS = 2;
 
@@ -84,6 +92,8 @@
   /** How many usable machines have an image, as of the last whole round. */
   private imageCounts = new Map<string, number>();
   private kept = new Map<Machine, Job>();
+  /** Machines on which tasks were stopped for a job, and until when they are kept for it. */
+  private readonly reserved = new Map<Machine, { job: Job; until: number }>();
   /** Which machines of which group's record are here. */
   private readonly groups = new Map<string, Set<string>>();
   /** All tokens of this owner's term. */
@@ -226,6 +236,7 @@
     releaseAll(machine);
     this.machines.delete(host);
     this.kept.delete(machine);
+    this.reserved.delete(machine);
     const { session, seq } = machine;
     this.departed.set(host, { session, seq });
     this.sweepJobs();
@@ -262,6 +273,7 @@
       case "done":
         machine.failedJobs.clear();
         job.failures = 0;
+        job.suspect = false;
         // Guards against writing the end of a job that was cancelled while its last task ended: its record is gone, and
         // the transaction would fail again and again, with those of all the jobs that are written together with it.
         if (job.closing) return;
@@ -283,21 +295,30 @@
   }
 
   private failed(job: Job, machine: Machine, now: number): void {
-    job.failures++;
-    job.failedOn.add(machine.host);
+    // What was still under way when the job was found faulty says nothing new, of it or of its machines.
+    if (job.notBefore > now) return;
+    job.failedOn.set(machine.host, now);
     machine.failedJobs.add(job.spec.id);
-    if (job.failedOn.size >= FAULTY_JOB_MACHINES) {
-      // It fails wherever it runs. Its machines are not to blame, and it waits longer each time.
-      for (const host of job.failedOn) this.machines.get(host)?.failedJobs.delete(job.spec.id);
-      job.failedOn.clear();
-      job.notBefore = now + Math.min(job.failures, 60) * this.leaseMs;
-      this.log.info({ job: job.spec.id, failures: job.failures }, "job fails on every machine, backing off");
-    } else if (machine.failedJobs.size >= FAULTY_MACHINE_JOBS && !machine.sick) {
+    if (job.suspect || job.failedOn.size >= FAULTY_JOB_MACHINES) this.backOff(job, now);
+    else if (machine.failedJobs.size >= FAULTY_MACHINE_JOBS && !machine.sick) {
       machine.sick = true;
       this.log.info({ host: machine.host, jobs: [...machine.failedJobs] }, "machine quarantined");
     }
   }
 
+  /**
+   * It fails wherever it runs. Its machines are not to blame, and it is tried again ever more rarely, but within the time
+   * that nobody waits beside room: it may have been the machines after all.
+   */
+  private backOff(job: Job, now: number): void {
+    for (const host of job.failedOn.keys()) this.machines.get(host)?.failedJobs.delete(job.spec.id);
+    job.failedOn.clear();
+    job.suspect = true;
+    job.notBefore = now + Math.min(2 ** job.failures * this.leaseMs, MOST_BACK_OFF * BESIDE_ROOM_S * 1000);
+    job.failures++;
+    this.log.info({ job: job.spec.id, failures: job.failures }, "job fails on every machine, backing off");
+  }
+
   /** Ends what can be proven over by the passing of time. */
   expire(now: number): void {
     for (const machine of this.machines.values()) {
@@ -312,6 +333,9 @@
       machine.inCensus = false;
       this.log.info({ host: machine.host, share: this.n, lost }, "machine silent, its lease is over");
     }
+    // Guards against a job that waits for ever beside room: the only machines may be those on which it once failed.
+    for (const { failedOn } of this.jobs.values())
+      for (const [host, at] of failedOn) if (now - at > FORGIVEN_LEASES * this.leaseMs) failedOn.delete(host);
     this.sweepJobs();
   }
 
@@ -412,9 +436,16 @@
   /** Stops less urgent work where that makes room for more urgent work in time. */
   preempt(now: number, clock: SteadyClock, deadline: number): void {
     const input = { ...this.roundInput(now), reportMs: this.settings.workers.reportMs };
-    const victims = choosePreemptions(input, clock, deadline);
-    for (const victim of victims)
-      victim.stop = { why: "preempt", graceS: victim.job.spec.checkpointS > 0 ? victim.job.spec.saveS : 0 };
+    const { victims, reserved } = choosePreemptions(input, clock, deadline);
+    let save = 0;
+    for (const victim of victims) {
+      const graceS = victim.job.spec.checkpointS > 0 ? victim.job.spec.saveS : 0;
+      victim.stop = { why: "preempt", graceS };
+      save = Math.max(save, graceS * 1000);
+    }
+    // Guards against stopping tasks in vain: what waits for less would take the room before enough of it is there.
+    const until = now + save + RESERVED_REPORTS * this.settings.workers.reportMs;
+    for (const [machine, job] of reserved) this.reserved.set(machine, { job, until });
     if (victims.length > 0) this.log.debug({ share: this.n, stopped: victims.length }, "preempting");
   }
 
@@ -446,9 +477,19 @@
       termToken: this.termToken,
       resumeAt: this.resumeAt,
       kept: this.kept,
+      reserved: this.reservations(now),
     };
   }
 
+  private reservations(now: number): Map<Machine, Job> {
+    const open = new Map<Machine, Job>();
+    for (const [machine, { job, until }] of this.reserved) {
+      if (now > until || job.waiting === 0) this.reserved.delete(machine);
+      else open.set(machine, job);
+    }
+    return open;
+  }
+
   /** Whether the attempts of this token are nearly used up. */
   get attemptsExhausted(): boolean {
     return this.attempts >= ATTEMPTS_PER_TOKEN / 2;
@@ -636,7 +677,7 @@
       const { spec } = job;
       const team = this.settings.teams.find((t) => t.name === spec.team);
       const used = usage.get(spec.team)!;
-      const most = job.waiting;
+      const most = job.suspect ? this.worthTrying(job) : job.waiting;
       let count = 0;
       for (; count < most && underLimit(team, used, unseen, spec); count++) {
         used.cpus += spec.cpus;
@@ -647,6 +688,17 @@
     return groupDemand(uncovered({ ...input, waiting }));
   }
 
+  /** A job that may be faulty is tried with one task, for which nothing is rented while a machine could hold it. */
+  private worthTrying(job: Job): number {
+    if (job.active.size > 0) return 0;
+    for (const machine of this.machines.values()) {
+      const type = this.types().get(machine.record.type);
+      if (type !== undefined && machine.usable && allows(job, machine) && slotsOn(job.spec, type) > 0)
+        return 0;
+    }
+    return 1;
+  }
+
   /** Learns how estimates of a class compare with what its tasks really take. */
   private learn(placement: Placement, now: number): void {
     const { className, estimateS, checkpointS } = placement.job.spec;
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -29,8 +29,11 @@
   private activeUndone = 0;
   /** Cancelled or over: its tasks are stopped, and it goes when none is left. */
   closing = false;
-  /** Machines on which a task of this job failed. */
-  readonly failedOn = new Set<string>();
+  /** Machines on which a task of this job failed, and when. */
+  readonly failedOn = new Map<string, number>();
+  /** Set once it has failed on several machines, until a task ends well: it is tried with one task at a time. */
+  suspect = false;
+  /** How often it was found to fail wherever it runs. */
   failures = 0;
   /** Tasks whose last attempt was stopped or lost. */
   readonly stopped = new Set<number>();
