Give a share without any machine one first, at the fleet's cap too

Three things added up. An idle machine went to the most urgent shortage, never to the share that had none. A machine that had just been passed on counted as a boot that had failed, since its order was long ago and its new owner had yet to hear it, and was given back at once. And where nobody is idle, nothing moved at all.

Now the first machine of an order or a move is for a share that has none that suits; a machine that is on record as up, and that its owner has yet to hear, is 'joining' and no failed boot; and where nothing more can be rented the leader asks the share with the most machines to cordon one, the one that is empty soonest, for as long as it goes on asking.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -434,6 +434,11 @@
       if (kept === undefined) return { counts: { known: false, done: 0, running: 0 } };
       return { counts: await kept.ask((reply) => ({ kind: "counts", job, reply })) };
     }
+    if ("cordon" in request) {
+      const { share, to, demand } = request.cordon;
+      this.keepers.get(share)?.keeper.tell({ kind: "cordon", to, demand });
+      return NOTHING;
+    }
     const message = "drain" in request ? request.drain : request.give;
     const keeper = this.keepers.get(message.share)?.keeper;
     if (keeper === undefined) return NOTHING;
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -22,6 +22,7 @@
     Answer answer = 12;
     Astray astray = 13;
     Ping ping = 14;
+    Cordon cordon = 15;
   }
 }
 
@@ -61,7 +62,7 @@
 
 message Machine {
   string host = 1;
-  // booting, idle, busy, silent, sick or draining
+  // booting, joining, idle, busy, silent, sick or draining
   string state = 2;
   double for_ms = 3;
   uint32 empty_reports = 4;
@@ -71,6 +72,8 @@
 message Drain { uint32 share = 1; repeated string hosts = 2; }
 // The leader asks an owner to pass empty machines on to another share.
 message Give { uint32 share = 1; uint32 to = 2; repeated string hosts = 3; }
+// The leader asks an owner to let one machine that suits run empty, for a share that has none and can rent none.
+message Cordon { uint32 share = 1; uint32 to = 2; Demand demand = 3; }
 // The leader asks an owner to pass the whole share on to another controller.
 message HandOver { uint32 share = 1; string to = 2; }
 // A worker that follows an owner's token came to another controller: it may not reach its owner any more.
@@ -98,7 +101,24 @@
   priority: string;
 }
 
-export type MachineCondition = "booting" | "idle" | "busy" | "silent" | "sick" | "draining";
+/** Where a machine is and what kind it is of. */
+export interface Place {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** Whether machines of a place are allowed for such tasks. */
+export function suits(demand: Demand, place: Place): boolean {
+  return (
+    (demand.types.length === 0 || demand.types.includes(place.type)) &&
+    (demand.zone === "" || demand.zone === place.zone) &&
+    (demand.spot || !place.spot)
+  );
+}
+
+/** `joining`: has spoken to an earlier owner, and not to this one yet. */
+export type MachineCondition = "booting" | "joining" | "idle" | "busy" | "silent" | "sick" | "draining";
 
 export interface MachineSummary {
   host: string;
@@ -133,6 +153,7 @@
   | { ping: Record<string, never> }
   | { drain: { share: number; hosts: string[] } }
   | { give: { share: number; to: number; hosts: string[] } }
+  | { cordon: { share: number; to: number; demand: Demand } }
   | { handOver: { share: number; to: string } }
   | { astray: { share: number; cameTo: string } }
   | { lookup: { share: number; job: string } }
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -2,7 +2,7 @@
 import { Actor } from "../runtime/actor.js";
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
-import type { Summary } from "../peers/messages.js";
+import type { Demand, Summary } from "../peers/messages.js";
 import { StateFailure, type StateClient, type WriteKind } from "../state/client.js";
 import { keys } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
@@ -29,6 +29,7 @@
       reply: (counts: { known: boolean; done: number; running: number }) => void;
     }
   | { kind: "drain"; hosts: string[]; reply: (hosts: string[]) => void }
+  | { kind: "cordon"; to: number; demand: Demand }
   | { kind: "give"; to: number; hosts: string[]; reply: (hosts: string[]) => void };
 
 export interface KeeperHooks {
@@ -111,6 +112,9 @@
       case "drain":
         void this.leave(message.hosts, true, (hosts) => this.toDrain(hosts), message.reply);
         return;
+      case "cordon":
+        this.share.cordon(message.to, message.demand, this.clock());
+        return;
       case "give":
         void this.leave(message.hosts, false, (hosts) => this.toGive(hosts, message.to), message.reply);
         return;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -6,7 +6,7 @@
 import { CHUNK_TASKS } from "../jobs/bits.js";
 import { ProgressPages } from "../jobs/progress.js";
 import { readDone, readJob, readProgress } from "../jobs/records.js";
-import type { Demand, MachineSummary, ShareLoad, Summary } from "../peers/messages.js";
+import { suits, type Demand, type MachineSummary, type ShareLoad, type Summary } from "../peers/messages.js";
 import { LRUCache } from "lru-cache";
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
@@ -15,17 +15,19 @@
 import {
   BESIDE_ROOM_S,
   CLOCK_DRIFT,
+  PRIORITIES,
   type Change,
   type Command,
   type Guard,
   type MachineType,
+  type Priority,
   type WorkerReport,
   type Write,
 } from "../wire/index.js";
 import { attach, Job, Machine, type Placement } from "../workers/model.js";
 import { machineOf, readGroup, type MachineRecord } from "../workers/records.js";
 import { applyReport, isNewer, noteAnswer, releaseAll } from "../workers/reports.js";
-import { uncovered, type Uncovered } from "./forecast.js";
+import { endsIn, uncovered, type Uncovered } from "./forecast.js";
 import { orderByUrgency, type Turn } from "./urgency.js";
 import { choosePreemptions } from "./preempt.js";
 import {
@@ -48,6 +50,10 @@
 const FAULTY_JOB_MACHINES = 3;
 /** So many report intervals a machine is kept for the job for which tasks were stopped there. */
 const RESERVED_REPORTS = 3;
+/** So many report intervals a machine stays cordoned after the leader last asked for it. */
+const CORDON_REPORTS = 3;
+/** The longest that a machine may take to run empty once cordoned, as a part of the time that nobody waits beside room. */
+const MOST_CORDONED = 2 / 3;
 /** The longest that a faulty job is not tried, as a part of the time that nobody waits beside room. */
 const MOST_BACK_OFF = 2 / 3;
 /** So many leases after a failure the job may be tried on that machine again. */
@@ -94,6 +100,8 @@
   private kept = new Map<Machine, Job>();
   /** Machines on which tasks were stopped for a job, and until when they are kept for it. */
   private readonly reserved = new Map<Machine, { job: Job; until: number }>();
+  /** Machines that run empty for another share, which share, and until when unless the leader asks again. */
+  private readonly cordons = new Map<Machine, { to: number; until: number }>();
   /** Which machines of which group's record are here. */
   private readonly groups = new Map<string, Set<string>>();
   /** All tokens of this owner's term. */
@@ -237,6 +245,7 @@
     this.machines.delete(host);
     this.kept.delete(machine);
     this.reserved.delete(machine);
+    this.cordons.delete(machine);
     const { session, seq } = machine;
     this.departed.set(host, { session, seq });
     this.sweepJobs();
@@ -333,6 +342,7 @@
       machine.inCensus = false;
       this.log.info({ host: machine.host, share: this.n, lost }, "machine silent, its lease is over");
     }
+    this.endCordons(now);
     // Guards against a job that waits for ever beside room: the only machines may be those on which it once failed.
     for (const { failedOn } of this.jobs.values())
       for (const [host, at] of failedOn) if (now - at > FORGIVEN_LEASES * this.leaseMs) failedOn.delete(host);
@@ -611,7 +621,7 @@
     return hosts.filter((host) => {
       const machine = this.machines.get(host);
       if (machine === undefined || machine.leaving) return false;
-      const idle = machine.usable && machine.empty && machine.emptyReports >= 2;
+      const idle = machine.sound && machine.empty && machine.emptyReports >= 2;
       // A machine that never spoke, fell silent or is sick need not be empty: the return itself is the proof.
       const lost = !machine.heard || machine.silentSince !== null || machine.deaf || machine.sick;
       if (!idle && !(anyState && lost)) return false;
@@ -620,6 +630,52 @@
     });
   }
 
+  /**
+   * Lets one machine that suits run empty for a share that has none: the one that will be empty soonest. Nothing is
+   * cordoned that would take so long that its room stood beside this share's own queue for too long.
+   */
+  cordon(to: number, demand: Demand, now: number): void {
+    const until = now + CORDON_REPORTS * this.settings.workers.reportMs;
+    for (const cordon of this.cordons.values())
+      if (cordon.to === to) {
+        cordon.until = until;
+        return;
+      }
+    const machine = this.soonestEmpty(demand, now);
+    if (machine === null) return;
+    machine.cordoned = true;
+    this.cordons.set(machine, { to, until });
+    for (const placement of machine.placements)
+      if (yieldsTo(placement, demand)) placement.stop ??= { why: "drain", graceS: placement.job.spec.saveS };
+    this.log.info({ host: machine.host, share: this.n, to }, "machine cordoned");
+  }
+
+  private soonestEmpty(demand: Demand, now: number): Machine | null {
+    const input = this.roundInput(now);
+    let best: Machine | null = null;
+    let least = MOST_CORDONED * BESIDE_ROOM_S * 1000;
+    for (const machine of this.machines.values()) {
+      const type = input.types.get(machine.record.type);
+      if (type === undefined || !machine.usable || !suits(demand, machine.record)) continue;
+      let emptyInMs = 0;
+      for (const placement of machine.placements) {
+        const stops = yieldsTo(placement, demand);
+        const ms = stops ? placement.job.spec.saveS * 1000 : endsIn(placement, type, input);
+        emptyInMs = Math.max(emptyInMs, ms);
+      }
+      if (emptyInMs < least) [best, least] = [machine, emptyInMs];
+    }
+    return best;
+  }
+
+  private endCordons(now: number): void {
+    for (const [machine, { until }] of this.cordons) {
+      if (now <= until) continue;
+      machine.cordoned = false;
+      this.cordons.delete(machine);
+    }
+  }
+
   stayAfterAll(hosts: string[]): void {
     for (const host of hosts) {
       const machine = this.machines.get(host);
@@ -710,6 +766,14 @@
   }
 }
 
+/** Whether a task gives way at once where its machine is to run empty: it saves, and is not the more urgent. */
+function yieldsTo({ job: { spec } }: Placement, demand: Demand): boolean {
+  return (
+    spec.checkpointS > 0 &&
+    PRIORITIES.indexOf(spec.priority) <= PRIORITIES.indexOf(demand.priority as Priority)
+  );
+}
+
 function groupDemand(rest: Uncovered[]): Demand[] {
   const groups = new Map<string, Demand>();
   for (const { job, count, zone } of rest) {
@@ -731,7 +795,10 @@
     return { host, state: "silent", forMs: since(machine.silentSince), emptyReports };
   // It speaks and does not hear: as good as silent, for what is to become of it.
   if (machine.deaf) return { host, state: "silent", forMs: since(machine.deafSince), emptyReports };
-  if (!machine.heard) return { host, state: "booting", forMs: since(machine.addedAt), emptyReports };
+  if (!machine.heard) {
+    const state = machine.record.up ? "joining" : "booting";
+    return { host, state, forMs: since(machine.addedAt), emptyReports };
+  }
   if (machine.sick) return { host, state: "sick", forMs: 0, emptyReports };
   if (machine.empty && machine.noticeS === null)
     return { host, state: "idle", forMs: since(machine.emptySince), emptyReports };
--- a/src/sizing/size.ts
+++ b/src/sizing/size.ts
@@ -1,6 +1,12 @@
 /** How much to rent, what to give back. Pure: summaries and records in, at most one action of each kind out. */
 import type { OperatorSettings } from "../config/operator.js";
-import type { Demand, MachineCondition, MachineSummary, Summary } from "../peers/messages.js";
+import {
+  suits,
+  type Demand,
+  type MachineCondition,
+  type MachineSummary,
+  type Summary,
+} from "../peers/messages.js";
 import { MAX_RENTAL, PRIORITIES, type MachineType, type Priority } from "../wire/index.js";
 import { slotsOn } from "../placement/place.js";
 import type { MachineRecord } from "../workers/records.js";
@@ -43,9 +49,17 @@
   to: number;
 }
 
+export interface Cordon {
+  share: number;
+  to: number;
+  demand: Demand;
+}
+
 export interface SizingActions {
   order: Order | null;
   move: Move | null;
+  /** A share that is to let a machine run empty for one that has none and can rent none. */
+  cordon: Cordon | null;
   /** What is to be named, of each share that has any: asking its owner takes no call to the cloud. */
   drains: Leave[];
 }
@@ -62,33 +76,33 @@
   return `${market.type}/${market.zone}/${market.spot ? "spot" : "ordinary"}`;
 }
 
-function suits(demand: Demand, market: Market): boolean {
-  return (
-    (demand.types.length === 0 || demand.types.includes(market.type)) &&
-    (demand.zone === "" || demand.zone === market.zone) &&
-    (demand.spot || !market.spot)
-  );
-}
-
 export function decideSizing(view: SizingView): SizingActions {
-  const actions: SizingActions = { order: null, move: null, drains: chooseDrains(view) };
+  const actions: SizingActions = { order: null, move: null, cordon: null, drains: chooseDrains(view) };
   const types = new Map(view.types.map((t) => [t.name, t]));
   const room = view.caps.maxMachines - view.machines.length;
   const short = shortages(view, types);
-  for (const { share, demand, machines } of short) {
-    actions.move ??= chooseMove(view, share, demand, types);
+  // Guards against a share that waits without any machine while others take all that can be had: one comes first.
+  const starved = short.filter((s) => s.without).map((s) => ({ ...s, most: 1 }));
+  for (const { share, demand, machines, most, without } of [...starved, ...short]) {
+    actions.move ??= chooseMove(view, share, demand, types, without);
     if (actions.move?.to === share) continue;
     const market = cheapest(view, demand);
+    if (without && (market === null || room <= 0)) actions.cordon ??= chooseCordon(view, share, demand);
     if (market === null) continue;
     // One call a pass: what other shares need of the same market goes with it.
     const { order } = actions;
     if (order !== null && marketKey(order) !== marketKey(market)) continue;
-    const count = Math.min(machines(market), Math.min(room, MAX_RENTAL) - (order?.count ?? 0));
+    const parts = order?.parts ?? [];
+    const own = parts.find((part) => part.share === share)?.count ?? 0;
+    const count = Math.min(machines(market) - own, most, Math.min(room, MAX_RENTAL) - (order?.count ?? 0));
     if (count <= 0) continue;
     actions.order = {
       ...market,
       count: count + (order?.count ?? 0),
-      parts: [...(order?.parts ?? []), { share, count }],
+      parts:
+        own > 0
+          ? parts.map((p) => (p.share === share ? { share, count: own + count } : p))
+          : [...parts, { share, count }],
     };
   }
   return actions;
@@ -98,6 +112,10 @@
   share: number;
   /** The most urgent group that is short; decides where to rent. */
   demand: Demand;
+  /** Whether the share has no machine, here or coming, that may run tasks of that group. */
+  without: boolean;
+  /** How many machines may be ordered for it. */
+  most: number;
   /** How many machines of a market the whole shortfall that it suits takes. */
   machines(market: Market): number;
 }
@@ -131,9 +149,13 @@
       if (count > 0) rest.push({ ...group, count });
     }
     if (rest.length === 0) return;
+    const own = view.machines.filter((m) => m.share === share && !m.drain && said.get(m.host) !== "silent");
+    const lacking = rest.find((group) => !own.some((m) => suits(group, m)));
     found.push({
       share,
-      demand: rest[0]!,
+      demand: lacking ?? rest[0]!,
+      without: lacking !== undefined,
+      most: Infinity,
       machines: (market) => {
         const type = types.get(market.type);
         if (!type) return 0;
@@ -157,7 +179,9 @@
   types: Map<string, MachineType>,
   wallNow: number,
 ): boolean {
-  if ((said.get(machine.host) ?? "booting") !== "booting") return false;
+  const state = said.get(machine.host) ?? "booting";
+  if (state === "joining") return true;
+  if (state !== "booting") return false;
   return wallNow - machine.since < OVERDUE_BOOTS * bootMs(machine, types);
 }
 
@@ -189,9 +213,12 @@
   to: number,
   demand: Demand,
   types: Map<string, MachineType>,
+  without: boolean,
 ): Move | null {
   for (const [share, summary] of view.summaries.entries()) {
-    if (share === to || !summary?.settled || summary.demand.length > 0) continue;
+    if (share === to || !summary?.settled || (summary.demand.length > 0 && !without)) continue;
+    // What a share with a queue of its own lets go is one machine, for one that has none.
+    const most = summary.demand.length > 0 ? 1 : Infinity;
     const idle = new Set(
       summary.machines.filter((m) => m.state === "idle" && m.emptyReports >= 2).map((m) => m.host),
     );
@@ -199,7 +226,14 @@
     let covered = 0;
     for (const machine of view.machines) {
       const type = types.get(machine.type);
-      if (covered >= demand.count || !type || machine.drain || machine.share !== share) continue;
+      if (
+        covered >= demand.count ||
+        hosts.length >= most ||
+        !type ||
+        machine.drain ||
+        machine.share !== share
+      )
+        continue;
       if (!idle.has(machine.host) || !suits(demand, machine)) continue;
       hosts.push(machine.host);
       covered += slotsOn(demand, type);
@@ -209,6 +243,21 @@
   return null;
 }
 
+/** Which share is to let a machine run empty: the one with the most that suit, if it has others left. */
+function chooseCordon(view: SizingView, to: number, demand: Demand): Cordon | null {
+  let best: Cordon | null = null;
+  let most = 1;
+  for (const [share, summary] of view.summaries.entries()) {
+    if (share === to || !summary?.settled) continue;
+    const up = new Set(
+      summary.machines.filter((m) => m.state === "busy" || m.state === "idle").map((m) => m.host),
+    );
+    const count = view.machines.filter((m) => up.has(m.host) && !m.drain && suits(demand, m)).length;
+    if (count > most) [best, most] = [{ share, to, demand }, count];
+  }
+  return best;
+}
+
 /** Machines to be named: empty over the idle wait, or lost for good. */
 function chooseDrains(view: SizingView): Leave[] {
   const drains: Leave[] = [];
@@ -226,7 +275,8 @@
           return said.forMs >= wait && said.emptyReports >= 2;
         }
         if (said.state === "sick") return true;
-        if (said.state === "silent") return !lone && said.forMs >= view.leaseMs;
+        // Guards against giving back what has just been passed on: its order is long ago, and its new owner has yet to hear it.
+        if (said.state === "silent" || said.state === "joining") return !lone && said.forMs >= view.leaseMs;
         return (
           said.state === "booting" && view.wallNow - machine.since >= HOPELESS_BOOTS * bootMs(machine, types)
         );
--- a/src/sizing/sizer.ts
+++ b/src/sizing/sizer.ts
@@ -156,7 +156,7 @@
     if (await this.refreshTypes(guard, now)) return;
     const types = this.prices ?? this.recordedTypes();
     if (types.length === 0) return;
-    const { order, move, drains } = decideSizing({
+    const { order, move, cordon, drains } = decideSizing({
       types,
       summaries: Array.from({ length: this.settings.controllers }, (_, n) => this.freshSummary(n, now)),
       machines: this.machines(),
@@ -166,6 +166,7 @@
       leaseMs: this.settings.workers.leaseMs,
     });
     if (move !== null) await this.move(move);
+    if (cordon !== null) await this.hooks.askOwner(cordon.share, { cordon }).catch(() => undefined);
     await Promise.all(drains.map((drain) => this.drain(drain)));
     // One call to the cloud a pass: what is under way first, then orders, then returns, then a look at the list.
     if (await this.resumeOrders(guard)) return;
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -139,6 +139,8 @@
   reported: TaskReport[] = [];
   /** Being passed to another share or drained: nothing new may be placed here. */
   leaving = false;
+  /** Running empty for another share: nothing new is placed here meanwhile. */
+  cordoned = false;
   private sum = { cpus: 0, gpus: 0, memoryGb: 0 };
 
   constructor(
@@ -156,7 +158,13 @@
     return this.deafSince !== null && this.sessionSince >= this.deafSince;
   }
 
+  /** Whether new tasks may be placed here. */
   get usable(): boolean {
+    return this.sound && !this.cordoned;
+  }
+
+  /** Whether it is up, on record as such, hears its owner and is not about to go. */
+  get sound(): boolean {
     return (
       this.up &&
       this.record.up &&
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -116,6 +116,12 @@
       case "tick":
         share!.drainNoticed();
         return [];
+      case "cordon": {
+        const demand = { cpus: 1, gpus: 0, memoryGb: 1, types: [], zone: "", spot: true, count: 1 };
+        const priority = event.options.get("priority") ?? "normal";
+        share!.cordon(Number(name), { ...demand, priority }, now);
+        return [];
+      }
       case "drain":
         return [`leaving ${share!.beginLeaving(words, true).join(" ") || "none"}`];
       case "write":
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -83,7 +83,7 @@
         refused.add(name);
         return [];
       case "pass": {
-        const { order, move, drains } = decideSizing({
+        const { order, move, cordon, drains } = decideSizing({
           types: [smallType],
           summaries,
           machines: [...machines.values()],
@@ -96,6 +96,7 @@
           order &&
             `order ${order.count} ${marketKey(order)} for ${order.parts.map((p) => `${p.count} share ${p.share}`).join(", ")}`,
           move && `move ${move.hosts.join(" ")} from share ${move.share} to ${move.to}`,
+          cordon && `cordon one of share ${cordon.share} for ${cordon.to}`,
           ...drains.map((drain) => `name ${drain.hosts.join(" ")} of share ${drain.share}`),
         ].filter((line) => line !== null);
       }
--- a/test/support/meetings.ts
+++ b/test/support/meetings.ts
@@ -284,6 +284,18 @@
       world.answersHeldMs = 0;
     },
   },
+  {
+    name: "one shard holds every machine at the fleet's cap when another's first job comes",
+    async play(world) {
+      world.cloud.capacity = 4;
+      for (let i = 0; i < 12; i++) world.submit(`req-${i}`, { pieces: 4, vcpus: 3 });
+      assert.ok(await world.runUntil(() => world.cloud.machines.size === 4, 30_000));
+      await world.run(30_000);
+      const waiting = world.submit("req-20", { crew: "capped", pieces: 2 });
+      assert.ok(await world.runUntil(() => world.runningOf(waiting) > 0, 75_000), "it gets a machine");
+      assert.ok(world.open().length > 2, "the first shard still has a queue");
+    },
+  },
   {
     name: "jobs bound to one zone, and arrays that are together or spread, lose machines",
     async play(world) {
