--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -15,6 +15,10 @@
   now: number;
 }
 
+const KINDS = ["cpus", "gpus", "memoryGb"] as const;
+/** What sums of fractions may be off by. */
+const ROUNDING = 1e-9;
+
 /** Room on a machine that comes free at a time. */
 interface Piece extends Amounts {
   at: number;
@@ -68,9 +72,11 @@
       const { machine, pieces } = best.room;
       if (zones !== null && !zoneAllowed(job, machine.record.zone, zones)) continue;
       if (zones !== null) countZone(zones, machine);
-      take(pieces, job, best.at, best.at + run);
+      // All that fits there at that time is taken at once: guards against a huge array costing a look for every task.
+      const together = zones === null ? Math.min(count, slotsAt(pieces, job, best.at)) : 1;
+      best.room.pieces = take(pieces, job.spec, together, best.at, best.at + run);
       offer(best.room);
-      count--;
+      count -= together;
     }
     if (count > 0) rest.push(...byZone(job, count, zones, input));
   }
@@ -152,19 +158,37 @@
   return null;
 }
 
-/** Takes one task's room out of the pieces free at `at`, and gives it back at `until`. */
-function take(pieces: Piece[], job: Job, at: number, until: number): void {
-  const { cpus, gpus, memoryGb } = job.spec;
-  const left = { cpus, gpus, memoryGb };
+/** How many tasks the pieces free by `at` hold; one did fit. */
+function slotsAt(pieces: Piece[], job: Job, at: number): number {
+  const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
   for (const piece of pieces) {
     if (piece.at > at) break;
-    for (const kind of ["cpus", "gpus", "memoryGb"] as const) {
+    for (const kind of KINDS) sum[kind] += piece[kind];
+  }
+  let slots = Infinity;
+  for (const kind of KINDS)
+    if (job.spec[kind] > 0) slots = Math.min(slots, Math.floor(sum[kind] / job.spec[kind] + ROUNDING));
+  return Number.isFinite(slots) ? Math.max(1, slots) : 1;
+}
+
+/** The pieces that are left once so many tasks have taken their room at `at`, to give it back at `until`. */
+function take(pieces: Piece[], spec: Amounts, tasks: number, at: number, until: number): Piece[] {
+  const left = { cpus: spec.cpus * tasks, gpus: spec.gpus * tasks, memoryGb: spec.memoryGb * tasks };
+  const back: Piece = { at: until, ...left };
+  const rest: Piece[] = [];
+  for (const piece of pieces) {
+    if (piece.at > at) {
+      rest.push(piece);
+      continue;
+    }
+    for (const kind of KINDS) {
       const part = Math.min(left[kind], piece[kind]);
       piece[kind] -= part;
       left[kind] -= part;
     }
+    if (KINDS.some((kind) => piece[kind] > ROUNDING)) rest.push(piece);
   }
-  const back: Piece = { at: until, cpus, gpus, memoryGb };
-  const index = pieces.findIndex((piece) => piece.at > until);
-  pieces.splice(index < 0 ? pieces.length : index, 0, back);
+  const index = rest.findIndex((piece) => piece.at > until);
+  rest.splice(index < 0 ? rest.length : index, 0, back);
+  return rest;
 }
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -155,9 +155,23 @@
   };
 }
 
+/**
+ * Room that is too small for every waiting task is left out at once. Guards against a queue of large tasks, or of a
+ * team at its limit, costing a look at every machine for every job.
+ */
+function roomsFor(queue: Turn[], input: RoundInput, machines: Iterable<Machine>): Room[] {
+  const least = { cpus: Infinity, gpus: Infinity, memoryGb: Infinity };
+  for (const { job } of queue) {
+    least.cpus = Math.min(least.cpus, job.spec.cpus);
+    least.gpus = Math.min(least.gpus, job.spec.gpus);
+    least.memoryGb = Math.min(least.memoryGb, job.spec.memoryGb);
+  }
+  return openRooms(input, machines).filter((room) => fits(room, least));
+}
+
 /** A whole round: all that waits against all that is open. */
 export function placeRound(input: RoundInput, queue: Turn[], clock: SteadyClock, deadline: number): Round {
-  const offer = makeOffer(input, openRooms(input, input.machines));
+  const offer = makeOffer(input, roomsFor(queue, input, input.machines));
   const blocked = new Set<string>();
   const found = input.resumeAt === null ? -1 : queue.findIndex(({ job }) => job.spec.id === input.resumeAt);
   const first = Math.max(0, found);
@@ -185,7 +199,7 @@
   atHome: (job: Job) => boolean,
 ): Round {
   const kept = new Map([...input.kept, ...input.reserved]);
-  const rooms = openRooms(input, [machine]);
+  const rooms = roomsFor(queue, input, [machine]);
   // Most machines that speak are full: what else the decision takes is not added up for them.
   if (rooms.length === 0) return { starts: [], resumeAt: null, kept, steps: 0 };
   const offer = { ...makeOffer(input, rooms), kept };
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -57,6 +57,7 @@
   const usage = teamUsage(jobs);
   const unseen = unseenUsage(input.machines, input.types);
   const rooms = roomsAfterEnds(input, usage);
+  const givesWay = rememberedByVictim((victim) => mayGiveWay(victim, input));
   // What placing would serve after its victims must not stop them: they would only start again before it.
   const place = new Map(
     orderByUrgency(
@@ -72,7 +73,7 @@
     const zones = zonesOf(job);
     for (let left = job.waiting; left > 0; left--) {
       if (clock() > deadline) return chosen;
-      const plan = makeRoom(job, team, open, zones, usage, unseen, place, input);
+      const plan = makeRoom(job, team, open, zones, usage, unseen, place, givesWay, input);
       if (plan === null) break;
       for (const victim of plan.victims) {
         const room = rooms.find((r) => r.machine === victim.machine)!;
@@ -128,12 +129,21 @@
   return rank(job) >= URGENT || latestStart(job, input) - input.wallNow < rentMs(job, input);
 }
 
+/** The same for a task whoever asks, so that it is worked out once a round and not for every waiting task. */
+function rememberedByVictim(decide: (victim: Placement) => boolean): (victim: Placement) => boolean {
+  const known = new Map<Placement, boolean>();
+  return (victim) => {
+    let answer = known.get(victim);
+    if (answer === undefined) known.set(victim, (answer = decide(victim)));
+    return answer;
+  };
+}
+
 /**
- * Urgent work may stop anything lower. Other work stops only what has time to go on later, and nothing twice:
- * guards against two jobs that stop each other's tasks in turn.
+ * Whether a task gives way to work that is not urgent (urgent work may stop anything lower): only what has time to go
+ * on later, and nothing twice. Guards against two jobs that stop each other's tasks in turn.
  */
-function mayGiveWay(victim: Placement, job: Job, input: PreemptInput): boolean {
-  if (rank(job) >= URGENT) return true;
+function mayGiveWay(victim: Placement, input: PreemptInput): boolean {
   if (victim.resumed) return false;
   const type = input.types.get(victim.machine.record.type);
   if (type === undefined) return false;
@@ -156,12 +166,17 @@
   usage: Map<string, { cpus: number; gpus: number }>,
   unseen: { cpus: number; gpus: number },
   place: Map<Job, number>,
+  givesWay: (victim: Placement) => boolean,
   input: PreemptInput,
 ): { room: Room; victims: Placement[] } | null {
   const used = usage.get(job.spec.team)!;
   const limited = !underLimit(team, used, unseen, job.spec);
   let best: { room: Room; victims: Placement[]; cost: number } | null = null;
   for (const room of rooms) {
+    // Sorted by priority: where the first is no lower, nothing is, and most rooms are passed by at this.
+    const [lowest] = room.victims;
+    const stoppable = lowest !== undefined && rank(lowest.job) < rank(job);
+    if (!stoppable && (limited || !fits(room, job.spec))) continue;
     if (!zoneAllowed(job, room.machine.record.zone, zones)) continue;
     const victims: Placement[] = [];
     const free: Amounts = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
@@ -169,7 +184,8 @@
     for (const victim of room.victims) {
       const enough = fits(free, job.spec) && underLimit(team, after, unseen, job.spec);
       if (enough || rank(victim.job) >= rank(job)) break;
-      if (place.get(victim.job)! < place.get(job)! || !mayGiveWay(victim, job, input)) continue;
+      if (place.get(victim.job)! < place.get(job)!) continue;
+      if (rank(job) < URGENT && !givesWay(victim)) continue;
       const own = victim.job.spec.team === job.spec.team;
       // Another team's task makes room on the machine, but not under this team's limit.
       if (limited && !own && !underLimit(team, after, unseen, job.spec)) continue;
@@ -180,6 +196,7 @@
     if (!fits(free, job.spec) || !underLimit(team, after, unseen, job.spec)) continue;
     const cost = victims.reduce((sum, v) => sum + stopCost(v, input), 0);
     if (best === null || cost < best.cost) best = { room, victims, cost };
+    if (cost === 0) break;
   }
   return best;
 }
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -50,6 +50,9 @@
   quietTicks: number;
 }
 
+/** The whole rounds that reports lead to take at most about this part of the time. */
+const ROUNDS_PART = 1 / 8;
+
 export class ShareKeeper extends Actor<KeeperMessage> {
   private writing = false;
   private noting = false;
@@ -58,6 +61,8 @@
   private lastNote = -Infinity;
   private lastPreempt = -Infinity;
   private lastSummary = -Infinity;
+  /** Before this no report leads to a whole round of placing. */
+  private nextRoundAt = -Infinity;
   private token: number | null = null;
   /** Ticks since a worker of the share last came here. In ticks, since a process that stood still has heard nobody. */
   private quietTicks = 0;
@@ -143,9 +148,10 @@
     const commands = this.share.report(report, now);
     if (commands === null) return { kind: "refused" };
     this.noteUp();
-    const placed = this.share.wantsRound
-      ? this.place(token)
-      : this.share.placeOn(report.host, token, now) > 0;
+    const placed =
+      this.share.wantsRound && now >= this.nextRoundAt
+        ? this.place(token)
+        : this.share.placeOn(report.host, token, now) > 0;
     if (placed) {
       const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
       for (const start of this.share.startsFor(report.host))
@@ -188,7 +194,11 @@
 
   private place(token: number): boolean {
     const now = this.clock();
-    return this.share.place(token, now, this.clock, now + this.figures.roundMs) > 0;
+    const placed = this.share.place(token, now, this.clock, now + this.figures.roundMs) > 0;
+    const end = this.clock();
+    // Guards against a large share whose every report leads to a whole round: it would have time for little else.
+    this.nextRoundAt = end + (end - now) / ROUNDS_PART;
+    return placed;
   }
 
   /** Notes durably which machines have come up, before anything is placed on them: see the census. */
--- /dev/null
+++ b/test/overload.test.ts
@@ -0,0 +1,145 @@
+/** What large queues cost: looks are counted, so that the answers do not depend on the processor. */
+import assert from "node:assert/strict";
+import { mock, test } from "node:test";
+import { uncovered } from "../src/placement/forecast.js";
+import type { RoundInput } from "../src/placement/place.js";
+import { choosePreemptions } from "../src/placement/preempt.js";
+import { ShareKeeper } from "../src/placement/share-keeper.js";
+import type { Share } from "../src/placement/share.js";
+import type { StateClient } from "../src/state/client.js";
+import { attach, Job, Machine } from "../src/workers/model.js";
+import { Fleet } from "../src/workers/fleet.js";
+import { parseReport, type JobSpec } from "../src/wire/index.js";
+import { FakeView, jobSpec, silent, smallType } from "./support/records.js";
+import { testSettings } from "./support/settings.js";
+
+const NOW = 1_000_000;
+const MACHINES = 100;
+
+function machines(): Machine[] {
+  return Array.from({ length: MACHINES }, (_, i) => {
+    const of = { group: "g", share: 0, type: "small", zone: "north", spot: false, since: 0 };
+    const machine = new Machine(`i-${i}`, { ...of, drain: false, up: true }, 0);
+    machine.heard = true;
+    return machine;
+  });
+}
+
+/** A job that counts how often somebody asks what its tasks take. */
+function counted(over: Partial<JobSpec>): { job: Job; looks: () => number } {
+  let looks = 0;
+  const spec = jobSpec("req-1", over);
+  Object.defineProperty(spec, "memoryGb", {
+    get: () => {
+      looks++;
+      return 1;
+    },
+  });
+  return { job: new Job(spec, NOW, 1), looks: () => looks };
+}
+
+function input(jobs: Job[], hosts: Machine[], objectives: RoundInput["objectives"]): RoundInput {
+  return {
+    jobs,
+    machines: hosts,
+    types: new Map([[smallType.name, smallType]]),
+    teams: testSettings().teams,
+    objectives,
+    ratio: () => 1,
+    now: NOW,
+    wallNow: NOW,
+    settled: true,
+    termToken: 0,
+    resumeAt: null,
+    kept: new Map(),
+    reserved: new Map(),
+  };
+}
+
+test("a forecast looks at a huge array once for all that fits a machine together, not once a task", () => {
+  const tasks = 25_000;
+  const { job, looks } = counted({ tasks, cpus: 0.25, estimateS: 5, priority: "best_effort" });
+  const rest = uncovered({ ...input([job], machines(), []), waiting: new Map([[job, tasks]]) });
+  // Sixteen tasks fit a machine at a time, and each place is taken over and over while the array can wait.
+  assert.ok((rest[0]?.count ?? 0) < tasks / 2, "most of it finds room in time");
+  assert.ok(looks() < tasks, `${looks()} looks`);
+});
+
+test("preemption works out once whether a task has time to go on later, however many wait for its room", () => {
+  const hosts = machines();
+  const low = new Job(
+    jobSpec("req-1", { tasks: 4 * MACHINES, priority: "best_effort", checkpointS: 9 }),
+    NOW,
+    1,
+  );
+  hosts.forEach((machine, i) => {
+    for (let k = 0; k < 4; k++)
+      attach({
+        job: low,
+        index: 4 * i + k,
+        attempt: 1,
+        machine,
+        state: "running",
+        since: NOW - 1000,
+        resumed: true,
+        unseen: 0,
+        stop: null,
+      });
+  });
+  const waiting = Array.from(
+    { length: 20 },
+    (_, i) => new Job(jobSpec(`req-9${i}`, { deadlineS: 90 }), NOW, 1),
+  );
+  const of = input([low, ...waiting], hosts, []);
+  const resumed = mock.fn(() => true);
+  for (const { placements } of hosts)
+    for (const placement of placements) Object.defineProperty(placement, "resumed", { get: resumed });
+  assert.deepEqual(choosePreemptions({ ...of, reportMs: 2500 }).victims, []);
+  assert.ok(resumed.mock.callCount() > 0, "they were considered");
+  assert.ok(resumed.mock.callCount() <= 4 * MACHINES, `${resumed.mock.callCount()} times`);
+});
+
+test("reports lead to whole rounds for a part of the time only, and are served by their own machine's room otherwise", () => {
+  let now = 0;
+  const ROUND_MS = 8;
+  const share = {
+    n: 0,
+    wantsRound: true,
+    report: () => [],
+    newlyUp: () => [],
+    finished: () => [],
+    progressed: () => [],
+    startsFor: () => [],
+    raised: () => undefined,
+    attemptsRenewed: () => undefined,
+    place: mock.fn(() => {
+      now += ROUND_MS;
+      return 0;
+    }),
+    placeOn: mock.fn(() => 0),
+  };
+  const figures = { roundMs: 50, spacingMs: 1000, preemptMs: 1000, quietTicks: 8 };
+  const hooks = { token: () => 1, raiseToken: () => undefined, summary: () => undefined };
+  const keeper = new ShareKeeper(
+    share as unknown as Share,
+    figures,
+    {} as StateClient,
+    new FakeView(),
+    new Fleet(silent),
+    () => now,
+    hooks,
+    silent,
+  );
+  const wire = { host: "i-1", addr: "a:1", breed: "small", bank: "north", loaners: false, tenure: 1 };
+  const REPORTS = 500;
+  for (let i = 0; i < REPORTS; i++) {
+    now++;
+    const parsed = parseReport({ ...wire, tick: i, baton: 1, recallS: null, pieces: [] });
+    assert.ok(parsed.ok);
+    keeper.tell({ kind: "report", report: parsed.value, reply: () => undefined });
+  }
+  const rounds = share.place.mock.callCount();
+  assert.ok(rounds > 1, "whole rounds are made");
+  assert.ok(rounds * ROUND_MS < now / 4, `${rounds} rounds took ${rounds * ROUND_MS} of ${now} ms`);
+  assert.equal(rounds + share.placeOn.mock.callCount(), REPORTS);
+});
