Tell an owner of a cancellation at once; know every try to advance a token by one mark

The controller that confirmed it tells the owner, which remembers it; the bound on the age of its view is as before. - a second try to advance a token, made before the feed showed the first, put a new mark in the place of the one that had succeeded, and the owner started afresh by its own change. All tries from one version now bear the same mark.

Tests: a fault combination, a trace and a membership test; each fails without its part.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -200,6 +200,7 @@
       () => this.typesByName,
       this.parting,
       (share, job) => this.countsOf(share, job),
+      (share, job) => this.tellCancelled(share, job),
       figures.submitPatienceMs,
       log,
     );
@@ -434,6 +435,11 @@
       if (kept === undefined) return { counts: { known: false, done: 0, running: 0 } };
       return { counts: await kept.ask((reply) => ({ kind: "counts", job, reply })) };
     }
+    if ("cancelled" in request) {
+      const { share, job } = request.cancelled;
+      this.keepers.get(share)?.keeper.tell({ kind: "cancelled", job });
+      return NOTHING;
+    }
     if ("cordon" in request) {
       const { share, to, demand } = request.cordon;
       this.keepers.get(share)?.keeper.tell({ kind: "cordon", to, demand });
@@ -455,6 +461,14 @@
     this.parting.note(share, { capacity: load.cpus, backlog: load.waiting + load.used - load.cpus });
   }
 
+  /**
+   * Guards against starts after a confirmed cancellation where the owner alone cannot follow the records: the feed tells
+   * it otherwise, and the bound on the age of its view holds whether or not this arrives.
+   */
+  private tellCancelled(share: number, job: string): void {
+    this.askNode(this.membership.owner(share), { cancelled: { share, job } }).catch(() => undefined);
+  }
+
   private async countsOf(share: number, job: string): Promise<{ done: number; running: number } | null> {
     const reply = await this.askNode(this.membership.owner(share), { lookup: { share, job } }).catch(
       () => null,
--- a/src/jobs/service.ts
+++ b/src/jobs/service.ts
@@ -40,6 +40,8 @@
     private readonly types: () => Map<string, MachineType>,
     private readonly parting: Parting,
     private readonly countsOf: CountsOf,
+    /** Tells the owner of a job's share that it is cancelled. */
+    private readonly tellCancelled: (share: number, job: string) => void,
     /** How long a submission may wait for its turn to be written. */
     private readonly patienceMs: number,
     private readonly log: Logger,
@@ -121,6 +123,7 @@
         );
         if (!commit.ok) continue;
         this.log.info({ job: id }, "job cancelled");
+        if (job !== null) this.tellCancelled(job.share, id);
         this.ended.set(id, ended);
         return { kind: "found", status: endedStatus(id, ended) };
       }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -281,7 +281,9 @@
     const record = this.cluster.shares[share];
     if (!record || this.token(share) === null || this.busy) return;
     this.busy = true;
-    const mark = crypto.randomUUID();
+    // Guards against not knowing an earlier try's success: the feed may show it only after this one has failed.
+    const earlier = this.raises.get(share);
+    const mark = earlier?.from === record.version ? earlier.mark : crypto.randomUUID();
     this.raises.set(share, { from: record.version, mark });
     try {
       const commit = await this.state.commit(
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -23,6 +23,7 @@
     Astray astray = 13;
     Ping ping = 14;
     Cordon cordon = 15;
+    Cancelled cancelled = 16;
   }
 }
 
@@ -84,6 +85,9 @@
 message Forward { string method = 1; string path = 2; string body = 3; }
 message Answer { uint32 status = 1; string body = 2; }
 
+// A job's cancellation is durable: its owner need not wait for the feed to tell it.
+message Cancelled { uint32 share = 1; string job = 2; }
+
 message Lookup { uint32 share = 1; string job = 2; }
 message Counts { bool known = 1; uint32 done = 2; uint32 running = 3; }
 `;
@@ -154,6 +158,7 @@
   | { drain: { share: number; hosts: string[] } }
   | { give: { share: number; to: number; hosts: string[] } }
   | { cordon: { share: number; to: number; demand: Demand } }
+  | { cancelled: { share: number; job: string } }
   | { handOver: { share: number; to: string } }
   | { astray: { share: number; cameTo: string } }
   | { lookup: { share: number; job: string } }
--- a/src/placement/share-keeper.ts
+++ b/src/placement/share-keeper.ts
@@ -29,6 +29,7 @@
       reply: (counts: { known: boolean; done: number; running: number }) => void;
     }
   | { kind: "drain"; hosts: string[]; reply: (hosts: string[]) => void }
+  | { kind: "cancelled"; job: string }
   | { kind: "cordon"; to: number; demand: Demand }
   | { kind: "give"; to: number; hosts: string[]; reply: (hosts: string[]) => void };
 
@@ -117,6 +118,9 @@
       case "drain":
         void this.leave(message.hosts, true, (hosts) => this.toDrain(hosts), message.reply);
         return;
+      case "cancelled":
+        this.share.cancelled(message.job);
+        return;
       case "cordon":
         this.share.cordon(message.to, message.demand, this.clock());
         return;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -81,6 +81,9 @@
 /** How many machines that have left are remembered, so that late copies of their reports are known for what they are. */
 const REMEMBERED_MACHINES = 1000;
 
+/** How many cancellations that were told are remembered: many more than are made while the feed is behind. */
+const REMEMBERED_CANCELLATIONS = 10_000;
+
 export class Share {
   readonly jobs = new Map<string, Job>();
   readonly machines = new Map<string, Machine>();
@@ -111,6 +114,8 @@
   private readonly departed = new LRUCache<string, { session: number; seq: number }>({
     max: REMEMBERED_MACHINES,
   });
+  /** Jobs of which another told that they are cancelled. */
+  private readonly cancellations = new LRUCache<string, true>({ max: REMEMBERED_CANCELLATIONS });
   private readonly leaseMs: number;
 
   constructor(
@@ -163,10 +168,18 @@
     }
   }
 
+  /** A cancellation is durable, whether or not the feed has shown it yet. */
+  cancelled(id: string): void {
+    this.cancellations.set(id, true);
+    this.dropJob(id);
+    this.sweepJobs();
+  }
+
   private syncJob(change: Change): void {
     const id = change.key.slice(prefixes.jobs.length);
     if (change.value === undefined) return this.dropJob(id);
-    if (this.jobs.has(id)) return;
+    // Guards against starting a cancelled job again from records read before the cancellation.
+    if (this.jobs.has(id) || this.cancellations.has(id)) return;
     const record = readJob(change.value);
     if (record === null) return void this.log.error({ key: change.key }, "unreadable job record");
     if (record.share !== this.n) return;
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -97,8 +97,10 @@
     grant: () => Promise.resolve(1),
     read: () => Promise.resolve(null),
     renew: () => Promise.resolve(true),
-    commit: async (_guards: Guard[], writes: Write[]) => {
+    commit: async (guards: Guard[], writes: Write[]) => {
       await settle();
+      const failed = guards.filter(({ key, version }) => (store.get(key)?.version ?? 0) !== version);
+      if (failed.length > 0) return { ok: false as const, failed: failed.map(({ key }) => key) };
       revision++;
       for (const write of writes) if ("put" in write) store.put(write.put, write.value, revision);
       written(membership);
@@ -144,3 +146,17 @@
   await settle();
   assert.deepEqual(went, [true, true, raised]);
 });
+
+test("an owner goes on with a share whose token it tried to raise once more before the feed showed the first try", async () => {
+  const { membership } = owningAll(() => undefined);
+  membership.tell({ kind: "tick" });
+  await settle();
+  await settle();
+  for (let i = 0; i < 2; i++) {
+    membership.tell({ kind: "raise", share: 0 });
+    await settle();
+    await settle();
+  }
+  membership.tell({ kind: "records" });
+  assert.equal(membership.continues(0, 10), true);
+});
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -106,6 +106,12 @@
         return [`token ${token}`, `settled ${share.settled}`];
       case "cancel":
         return change(view.remove(keys.job(name), ++version));
+      case "told-cancelled":
+        share!.cancelled(name);
+        return [];
+      case "reset":
+        share!.sync(view, null, now);
+        return [];
       case "returned":
         return change(view.remove(keys.machines(name), ++version));
       case "report":
--- a/test/support/meetings.ts
+++ b/test/support/meetings.ts
@@ -64,6 +64,22 @@
   gap(2000, 45_000, true),
   gap(500, 45_000, false),
   gap(8000, 45_000, true),
+  {
+    name: "a job is cancelled while the state service refuses its owner alone, who starts no more of it",
+    async play(world) {
+      world.cloud.capacity = 4;
+      (world.workers.runOf ??= new Map()).set("req-1", 3000);
+      const job = world.submit("req-1", { pieces: 400, guessS: 2 });
+      assert.ok(await world.runUntil(() => job.completed.size > 8, 60_000), "it runs");
+      const { owner, other } = ownerAndOther(world, 0);
+      world.store.refused.add(owner.index);
+      await Promise.race([world.cancel(job, other), world.run(3000)]);
+      assert.ok(job.cancelledAt !== null && job.completed.size < 300, "confirmed while tasks wait");
+      await world.run(12_000);
+      assert.equal(world.startsAfterCancellation, 0);
+      world.store.refused.delete(owner.index);
+    },
+  },
   {
     name: "a job is cancelled while its owner renews its hold and hears of no change",
     async play(world) {
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -31,6 +31,8 @@
 const NEGLECTED_MS = 90_000;
 /** Once troubles are over every question is answered within this. */
 const FORGOTTEN_MS = 75_000;
+/** A start that was sent before its job was confirmed as cancelled has come within this. */
+const UNDER_WAY_MS = 500;
 /** What a machine of the stand-in cloud holds. */
 const MACHINE_CPUS = 4;
 
@@ -94,6 +96,8 @@
   readonly jobs = new Map<string, UserJob>();
   /** What went against the rules. */
   readonly broken: string[] = [];
+  /** Starts of tasks whose job's cancellation had been confirmed before the start was sent; allowed, and of no use. */
+  startsAfterCancellation = 0;
   readonly workers: WorkerFigures;
   readonly settings: Settings;
   /** The part of the transactions that get no answer and are carried out seconds later. */
@@ -377,6 +381,7 @@
   /** The rules that can be broken by a start. */
   private started(piece: string, worker: WorkerStandIn): void {
     const job = this.jobOf(piece)!;
+    if (job.cancelledAt !== null && this.now - job.cancelledAt > UNDER_WAY_MS) this.startsAfterCancellation++;
     this.onStart.get(piece)?.();
     this.onStart.delete(piece);
     for (const twice of this.cloud.ranTwice) this.note(`ran_twice: ${twice}`);
