--- a/src/sizing/sizer.ts
+++ b/src/autoscaling/autoscaler.ts
@@ -24,39 +24,41 @@
 import type { Fleet } from "../workers/fleet.js";
 import { groupSize, type MachineGroup } from "../workers/records.js";
 import {
-  decideSizing,
+  decideScaling,
   marketKey,
   type Known,
   type Leave,
   type Market,
   type Move,
   type Order,
-} from "./size.js";
-import { fromDemandRecord } from "./demand-record.js";
+} from "./decide.js";
+import { SummaryBook } from "./summary-book.js";
 import { Listing } from "./listing.js";
-import { Strangers } from "./strangers.js";
+import { UnregisteredMachines } from "./unregistered-machines.js";
 
 const orderSchema = z.object({
   type: z.string(),
   zone: z.string(),
   spot: z.boolean(),
   count: z.int().positive(),
-  parts: z.array(z.object({ share: z.int().nonnegative(), count: z.int().positive() })),
+  parts: z.array(z.object({ shard: z.int().nonnegative(), count: z.int().positive() })),
   since: z.number(),
 });
 type OrderRecord = z.infer<typeof orderSchema>;
 
-export type SizerMessage =
+/** What the autoscaler is told. */
+export type AutoscalerMessage =
   | { kind: "summary"; summary: Summary; reply: (accepted: boolean) => void }
   | { kind: "unknown_machine"; report: WorkerReport }
   | { kind: "tick" }
-  | { kind: "pass_over" };
+  | { kind: "pass_done" };
 
-export interface SizerHooks {
+/** What the autoscaler needs of the rest of the process. */
+export interface AutoscalerHooks {
   /** The version of the record that makes this process the leader, or null. */
   leadership(): number | null;
-  /** Asks the owner of a share, this process included. */
-  askOwner(share: number, request: PeerRequest): Promise<PeerReply>;
+  /** Asks the owner of a shard, this process included. */
+  askOwner(shard: number, request: PeerRequest): Promise<PeerReply>;
 }
 
 interface Refusal {
@@ -64,14 +66,13 @@
   pauseMs: number;
 }
 
-export class Sizer extends Actor<SizerMessage> {
-  private readonly summaries: { summary: Summary; at: number }[] = [];
-  /** Summaries left in the records, and when each version was first seen. */
-  private readonly recorded = new Map<number, { version: number; at: number }>();
+/** Runs the reconciliation passes while this process leads; does nothing while it does not. */
+export class Autoscaler extends Actor<AutoscalerMessage> {
+  private readonly summaries: SummaryBook;
   private readonly refusals = new Map<string, Refusal>();
-  private readonly strangers = new Map<string, Market>();
-  private readonly unknown: Strangers;
-  /** Hosts given back lately: the lists go on showing them for a while. */
+  private readonly unregistered = new Map<string, Market>();
+  private readonly unknown: UnregisteredMachines;
+  /** Hosts returned lately: the lists go on showing them for a while. */
   private readonly returned = new Map<string, number>();
   /** What the cloud's lists have shown in this term. */
   private listing: Listing;
@@ -90,18 +91,19 @@
     private readonly view: ReplicaView,
     private readonly fleet: Fleet,
     private readonly clock: SteadyClock,
-    private readonly hooks: SizerHooks,
+    private readonly hooks: AutoscalerHooks,
     log: Logger,
   ) {
     super(log);
-    this.unknown = new Strangers(settings.workers.reportMs / 2);
+    this.summaries = new SummaryBook(view, fleet, operator.passSpacingMs);
+    this.unknown = new UnregisteredMachines(settings.workers.reportMs / 2);
     this.listing = new Listing(settings.cloud.listLagMs);
   }
 
-  protected override receive(message: SizerMessage): void {
+  protected override receive(message: AutoscalerMessage): void {
     switch (message.kind) {
       case "summary":
-        this.summaries[message.summary.share] = { summary: message.summary, at: this.clock() };
+        this.summaries.add(message.summary, this.clock());
         message.reply(this.hooks.leadership() !== null);
         return;
       case "unknown_machine":
@@ -110,7 +112,7 @@
       case "tick":
         this.pass();
         return;
-      case "pass_over":
+      case "pass_done":
         this.passing = false;
         return;
     }
@@ -119,7 +121,7 @@
   private hear(report: WorkerReport): void {
     const { host, type, zone, spot } = report;
     if (this.returned.has(host) || !this.unknown.hear(report, this.clock())) return;
-    this.strangers.set(host, { type, zone, spot });
+    this.unregistered.set(host, { type, zone, spot });
   }
 
   private pass(): void {
@@ -133,32 +135,32 @@
     if (this.passing || now - this.lastPass < this.operator.passSpacingMs) return;
     this.passing = true;
     this.lastPass = now;
-    this.passOnce(leads, now)
-      .catch((err: Error) => {
+    this.reconcile(leads, now)
+      .catch((err: unknown) => {
         const expected = err instanceof CloudFailure || err instanceof StateFailure;
         if (expected) this.log.debug({ err: err.message }, "pass cut short");
         else this.log.error({ err }, "pass failed");
       })
-      .finally(() => this.tell({ kind: "pass_over" }));
+      .finally(() => this.tell({ kind: "pass_done" }));
   }
 
   private beginTerm(now: number): void {
     this.ledSince = now;
-    this.summaries.length = 0;
+    this.summaries.clear();
     this.listing = new Listing(this.settings.cloud.listLagMs);
     this.returned.clear();
     this.refusals.clear();
   }
 
-  private async passOnce(leads: number, now: number): Promise<void> {
+  private async reconcile(leads: number, now: number): Promise<void> {
     const guard: Guard = { key: keys.leader, version: leads };
-    await this.adoptStrangers(guard);
+    await this.registerMachines(guard);
     if (await this.refreshTypes(guard, now)) return;
     const types = this.prices ?? this.recordedTypes();
     if (types.length === 0) return;
-    const { order, move, cordon, drains } = decideSizing({
+    const { order, move, cordon, drains } = decideScaling({
       types,
-      summaries: Array.from({ length: this.settings.controllers }, (_, n) => this.freshSummary(n, now)),
+      summaries: Array.from({ length: this.settings.controllers }, (_, n) => this.summaries.latest(n, now)),
       machines: this.machines(),
       wallNow: Date.now(),
       refused: (market) => (this.refusals.get(marketKey(market))?.until ?? -Infinity) > now,
@@ -166,12 +168,12 @@
       leaseMs: this.settings.workers.leaseMs,
     });
     if (move !== null) await this.move(move);
-    if (cordon !== null) await this.hooks.askOwner(cordon.share, { cordon }).catch(() => undefined);
+    if (cordon !== null) await this.hooks.askOwner(cordon.shard, { cordon }).catch(() => undefined);
     await Promise.all(drains.map((drain) => this.drain(drain)));
     // One call to the cloud a pass: what is under way first, then orders, then returns, then a look at the list.
     if (await this.resumeOrders(guard)) return;
     if (order !== null && this.cloud.mayCall()) return this.place(guard, order);
-    if (await this.giveBack(guard)) return;
+    if (await this.returnMachines(guard)) return;
     await this.readList(now);
   }
 
@@ -183,25 +185,6 @@
     return this.view.under(prefixes.types).map((entry) => entry.value as MachineType);
   }
 
-  /** Summaries of owners that have gone quiet say nothing any more. */
-  private freshSummary(share: number, now: number): Summary | undefined {
-    const known = this.summaries[share];
-    if (known !== undefined && now - known.at < 4 * this.operator.passSpacingMs) return known.summary;
-    return this.recordedSummary(share, now);
-  }
-
-  /** What the owner has left in the records lately, and since it became the owner. */
-  private recordedSummary(share: number, now: number): Summary | undefined {
-    const entry = this.view.get(keys.demand(share));
-    if (entry === undefined) return undefined;
-    const seen = this.recorded.get(share);
-    if (seen?.version !== entry.version) this.recorded.set(share, { version: entry.version, at: now });
-    else if (now - seen.at >= 8 * this.operator.passSpacingMs) return undefined;
-    const hosts = [...this.fleet.all()].filter(([, m]) => m.share === share).map(([host]) => host);
-    const summary = fromDemandRecord(share, entry.value, hosts);
-    return summary?.token === this.view.get(keys.share(share))?.version ? (summary ?? undefined) : undefined;
-  }
-
   /** Reads types and prices now and then, and keeps them in the records, so that no other node need ask. */
   private async refreshTypes(guard: Guard, now: number): Promise<boolean> {
     if (now - this.lastTypes < 60 * this.operator.passSpacingMs || !this.cloud.mayCall()) return false;
@@ -249,12 +232,12 @@
     this.noteRefusal(order, hosts.length < order.count);
     const { type, zone, spot } = order;
     const fresh = hosts.filter((host) => this.fleet.get(host) === undefined);
-    const groups = order.parts.flatMap(({ share, count }) =>
-      this.groupsOf(fresh.splice(0, count), { share, type, zone, spot }),
+    const groups = order.parts.flatMap(({ shard, count }) =>
+      this.groupsOf(fresh.splice(0, count), { shard, type, zone, spot }),
     );
     // The order is still there, as it was sent: a late copy of this write brings no machine back.
     const guards = [guard, { key: keys.order(name), version }];
-    // Machines past what one write holds are in no record: they are adopted once they report.
+    // Machines past what one write holds are in no record: they are registered once they report.
     const writes = [...groups.slice(0, this.state.txnOps - 1), { remove: keys.order(name) }];
     await this.state.commit(guards, writes, "ownership");
   }
@@ -280,22 +263,22 @@
   }
 
   private async move(move: Move): Promise<void> {
-    const { share, to, hosts } = move;
-    await this.hooks.askOwner(share, { give: { share, to, hosts } }).catch(() => undefined);
+    const { shard, to, hosts } = move;
+    await this.hooks.askOwner(shard, { give: { shard, to, hosts } }).catch(() => undefined);
   }
 
   private async drain(drain: Leave): Promise<void> {
-    await this.hooks.askOwner(drain.share, { drain }).catch(() => undefined);
+    await this.hooks.askOwner(drain.shard, { drain }).catch(() => undefined);
   }
 
   /** Returns what its owners have marked; the record goes once the cloud has said that the machine is gone. */
-  private async giveBack(guard: Guard): Promise<boolean> {
+  private async returnMachines(guard: Guard): Promise<boolean> {
     const marked = this.machines().filter((m) => m.drain);
     // Only what one transaction takes out of the records: the rest would be returned again, pass after pass.
     const most = marked.slice(0, MAX_RETURN).map((m) => m.host);
     const { hosts } = this.fleet.change(most, null, this.state.txnOps);
     if (hosts.length === 0 || !this.cloud.mayCall()) return false;
-    await this.cloud.giveBack(hosts);
+    await this.cloud.returnMachines(hosts);
     for (const host of hosts) {
       this.returned.set(host, this.clock());
       this.unknown.forget(host);
@@ -308,28 +291,28 @@
   }
 
   /** Machines that report or are listed although no record names them: a late order, or there from the start. */
-  private async adoptStrangers(guard: Guard): Promise<void> {
+  private async registerMachines(guard: Guard): Promise<void> {
     const load = Array.from({ length: this.settings.controllers }, () => 0);
-    for (const [, machine] of this.fleet.all()) load[machine.share] = (load[machine.share] ?? 0) + 1;
+    for (const [, machine] of this.fleet.all()) load[machine.shard] = (load[machine.shard] ?? 0) + 1;
     const alike = new Map<string, { of: Omit<MachineGroup, "since" | "machines">; hosts: string[] }>();
-    for (const [host, market] of this.strangers) {
+    for (const [host, market] of this.unregistered) {
       if (this.fleet.get(host) !== undefined || this.returned.has(host)) continue;
-      const share = load.indexOf(Math.min(...load));
-      load[share]!++;
-      const key = `${share}/${marketKey(market)}`;
+      const shard = load.indexOf(Math.min(...load));
+      load[shard]!++;
+      const key = `${shard}/${marketKey(market)}`;
       const group = alike.get(key);
       if (group) group.hosts.push(host);
-      else alike.set(key, { of: { ...market, share }, hosts: [host] });
+      else alike.set(key, { of: { ...market, shard }, hosts: [host] });
     }
-    this.strangers.clear();
+    this.unregistered.clear();
     const writes = [...alike.values()].flatMap(({ of, hosts }) => this.groupsOf(hosts, of));
     if (writes.length === 0) return;
-    this.log.info({ hosts: [...alike.values()].flatMap((g) => g.hosts) }, "adopting machines");
+    this.log.info({ hosts: [...alike.values()].flatMap((g) => g.hosts) }, "registering machines");
     // Machines in no record cannot be guarded by their own; this key lets a late copy of the write fail.
-    const adoption = { key: keys.adoption, version: this.view.get(keys.adoption)?.version ?? 0 };
-    const mark = { put: keys.adoption, value: { machines: writes.length } };
+    const registration = { key: keys.registration, version: this.view.get(keys.registration)?.version ?? 0 };
+    const mark = { put: keys.registration, value: { machines: writes.length } };
     const room = this.state.txnOps - 1;
-    await this.state.commit([guard, adoption], [mark, ...writes.slice(0, room)], "ownership");
+    await this.state.commit([guard, registration], [mark, ...writes.slice(0, room)], "ownership");
   }
 
   /** One page a pass: of a list that is under way, or of a new one now and then. */
@@ -341,11 +324,11 @@
     const page = await this.cloud.list(this.listing.after);
     const all = this.listing.take(page.machines, page.more, now);
     if (all === null) return;
-    this.adoptListed(all, now);
+    this.noteUnregistered(all, now);
     this.noteMissing(all, now);
   }
 
-  private adoptListed(all: ListedMachine[], now: number): void {
+  private noteUnregistered(all: ListedMachine[], now: number): void {
     const lag = this.settings.cloud.listLagMs;
     for (const [host, at] of this.returned) if (now - at > 6 * lag) this.returned.delete(host);
     // A new leader does not know what its predecessor gave back; lists show such machines for a while.
@@ -353,7 +336,7 @@
     for (const m of all) {
       if (this.fleet.get(m.host) !== undefined || this.returned.has(m.host) || m.ageS * 1000 < 2 * lag)
         continue;
-      this.strangers.set(m.host, { type: m.type, zone: m.zone, spot: m.spot });
+      this.unregistered.set(m.host, { type: m.type, zone: m.zone, spot: m.spot });
     }
   }
 
@@ -363,8 +346,8 @@
     for (const host of this.listing.missing(all, (host) => this.fleet.get(host) !== undefined, now)) {
       const record = this.fleet.get(host);
       if (record === undefined || record.drain) continue;
-      gone.set(record.share, [...(gone.get(record.share) ?? []), host]);
+      gone.set(record.shard, [...(gone.get(record.shard) ?? []), host]);
     }
-    for (const [share, hosts] of gone) void this.drain({ share, hosts });
+    for (const [shard, hosts] of gone) void this.drain({ shard, hosts });
   }
 }
--- a/src/sizing/demand-record.ts
+++ b/src/autoscaling/demand-record.ts
@@ -1,6 +1,6 @@
 /**
  * A summary as an owner leaves it in the records while it cannot reach the leader: a refused connection between two
- * controllers must not keep a share from getting machines.
+ * controllers must not keep a shard from getting machines.
  */
 import * as z from "zod";
 import type { Demand, Summary } from "../peers/messages.js";
@@ -18,19 +18,25 @@
 
 const recordSchema = z.object({
   token: z.number(),
-  settled: z.boolean(),
+  recovered: z.boolean(),
   demand: z.array(demandSchema),
   /** Machines that have not spoken yet: all others are taken to be at work. */
   booting: z.array(z.string()),
 });
 
-export function toDemandRecord({ token, settled, demand, machines }: Summary): z.infer<typeof recordSchema> {
+/** The part of a summary that is worth leaving in the records. */
+export function toDemandRecord({
+  token,
+  recovered,
+  demand,
+  machines,
+}: Summary): z.infer<typeof recordSchema> {
   const booting = machines.filter((m) => m.state === "booting").map((m) => m.host);
-  return { token, settled, demand, booting };
+  return { token, recovered, demand, booting };
 }
 
-/** Null where the record cannot be read. Nothing is named to be given back by it: it shows no machine idle. */
-export function fromDemandRecord(share: number, value: unknown, hosts: Iterable<string>): Summary | null {
+/** Null where the record cannot be read. No machine is selected for removal by it: it shows no machine idle. */
+export function fromDemandRecord(shard: number, value: unknown, hosts: Iterable<string>): Summary | null {
   const record = recordSchema.safeParse(value).data;
   if (record === undefined) return null;
   const booting = new Set(record.booting);
@@ -40,7 +46,7 @@
     forMs: 0,
     emptyReports: 0,
   }));
-  const { token, settled, demand } = record;
+  const { token, recovered, demand } = record;
   const load = { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 };
-  return { share, token, settled, demand, machines, load };
+  return { shard, token, recovered, demand, machines, load };
 }
--- a/src/sizing/strangers.ts
+++ b/src/autoscaling/unregistered-machines.ts
@@ -6,17 +6,17 @@
 const REMEMBERED = 2000;
 
 /**
- * Guards against adopting a machine that has been returned: copies of its reports may come late. A machine is
+ * Guards against registering a machine that has been returned: copies of its reports may come late. A machine is
  * believed to be there only once a second report, newer and some time after the first, has come in.
  */
-export class Strangers {
+export class UnregisteredMachines {
   private readonly first = new LRUCache<string, { session: number; seq: number; at: number }>({
     max: REMEMBERED,
   });
 
   constructor(private readonly gapMs: number) {}
 
-  /** Whether the machine is to be adopted. */
+  /** Whether the machine is to be registered. */
   hear(report: Pick<WorkerReport, "host" | "session" | "seq">, now: number): boolean {
     const { host, session, seq } = report;
     const first = this.first.get(host);
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -19,8 +19,10 @@
 /** The cloud gave no usable answer; what was asked may be carried out, now or later. */
 export class CloudFailure extends Error {}
 
+/** How a rental request ended. */
 export type Rental = { kind: "rented"; hosts: string[] } | { kind: "no_capacity" } | { kind: "malformed" };
 
+/** Calls the cloud within this node's part of the allowed rate; a call that has no room is left out. */
 export class CloudClient {
   private readonly budget: Budget;
 
@@ -54,8 +56,8 @@
   }
 
   /** Once this returns, the machines and all that ran on them are gone. */
-  async giveBack(hosts: string[]): Promise<void> {
-    const answer = await this.send("POST", paths.cloud.giveBack, cloudReturnToWire(hosts));
+  async returnMachines(hosts: string[]): Promise<void> {
+    const answer = await this.send("POST", paths.cloud.returnMachines, cloudReturnToWire(hosts));
     if (answer.status !== 200) throw new CloudFailure(`return: status ${answer.status}`);
   }
 
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -11,12 +11,12 @@
         max_machines: z.int().positive().default(2000),
         /** The most tasks that sizing rents for at a time. */
         max_tasks: z.int().positive().default(100_000),
-        /** How long a machine must stand empty before it is given back; half its type's boot time if not given. */
+        /** How long a machine must stand empty before it is returned; half its type's boot time if not given. */
         idle_wait_s: z.number().positive().optional(),
         /** The least time between two passes. */
         pass_spacing_s: z.number().positive().default(1),
-        /** How often the leader may move a share to another controller. */
-        share_period_s: z.number().positive().default(30),
+        /** How often the leader may move a shard to another controller. */
+        shard_move_period_s: z.number().positive().default(30),
       })
       .prefault({}),
   })
@@ -25,11 +25,13 @@
     maxTasks: file.sizing.max_tasks,
     idleWaitMs: file.sizing.idle_wait_s === undefined ? null : file.sizing.idle_wait_s * 1000,
     passSpacingMs: file.sizing.pass_spacing_s * 1000,
-    sharePeriodMs: file.sizing.share_period_s * 1000,
+    shardMovePeriodMs: file.sizing.shard_move_period_s * 1000,
   }));
 
+/** The operators' own settings, defaults filled in. */
 export type OperatorSettings = z.infer<typeof schema>;
 
+/** Checks what was read from the file; throws SettingsError with the name of the first wrong field. */
 export function checkOperatorSettings(raw: unknown): OperatorSettings {
   const result = check(schema, raw);
   if (!result.ok) throw new SettingsError(result.error);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -4,6 +4,7 @@
 import * as z from "zod";
 import { check } from "../wire/index.js";
 
+/** Settings that cannot be used; the message names the field. */
 export class SettingsError extends Error {}
 
 const address = z.string().regex(/^[^:\s]+:\d{1,5}$/, "expected host:port");
@@ -85,10 +86,14 @@
     sockets: file.settings.resources.sockets,
   }));
 
+/** The platform's settings file, checked and in this program's terms; durations in milliseconds where named so. */
 export type Settings = z.infer<typeof schema>;
+/** One aim of a class of jobs. */
 export type Objective = Settings["objectives"][number];
+/** A team with its guarantee and limit; a limit of 0 is none. */
 export type Team = Settings["teams"][number];
 
+/** Reads and checks a settings file; throws SettingsError. */
 export function parseSettings(text: string): Settings {
   let raw: unknown;
   try {
@@ -101,6 +106,7 @@
   return result.value;
 }
 
+/** The text of a file; throws SettingsError if it cannot be read. */
 export function readText(file: string): string {
   try {
     return readFileSync(file, "utf8");
--- a/src/http/app.ts
+++ b/src/http/app.ts
@@ -3,12 +3,14 @@
 import { BodyTooLarge, parseJson, readAll } from "../runtime/http-client.js";
 import type { Logger } from "../runtime/log.js";
 import { MAX_BODY_BYTES, parseReport, paths, redirectToWire, type WorkerReport } from "../wire/index.js";
-import type { UserDesk } from "./users.js";
+import type { UserRequestHandler } from "./users.js";
 
+/** The answer to a worker's report: commands, or where the worker should report to. */
 export type Routed = { kind: "commands"; body: object } | { kind: "redirect"; owner: string | null };
 
+/** What the HTTP interface needs of the rest of the process. */
 export interface AppParts {
-  users: UserDesk;
+  users: UserRequestHandler;
   /** Finds who may answer a worker, and answers if that is this node. */
   report(report: WorkerReport): Promise<Routed>;
   healthy(): boolean;
@@ -19,11 +21,17 @@
 const RETRY_AFTER_S = "1";
 const JSON_TYPE = "application/json; charset=utf-8";
 
+/** The koa application for users, workers and health checks. */
 export function createApp(parts: AppParts): Koa {
   const app = new Koa();
-  app.on("error", (err: Error) => parts.log.debug({ err: err.message }, "request failed"));
+  app.on("error", (err: Error) => {
+    parts.log.debug({ err: err.message }, "request failed");
+  });
   app.use(async (ctx) => {
-    if (ctx.path === paths.health) return only(ctx, "GET", () => health(ctx, parts));
+    if (ctx.path === paths.health)
+      return only(ctx, "GET", () => {
+        health(ctx, parts);
+      });
     if (ctx.path === paths.report) return only(ctx, "POST", () => report(ctx, parts));
     const { method, path } = ctx;
     const body = method === "POST" ? await readBody(ctx) : undefined;
@@ -46,7 +54,8 @@
 async function only(ctx: Context, method: string, handle: () => Promise<void> | void): Promise<void> {
   if (ctx.method !== method) {
     ctx.set("Allow", method);
-    return answer(ctx, 405, { error: `use ${method}` });
+    answer(ctx, 405, { error: `use ${method}` });
+    return;
   }
   await handle();
 }
@@ -71,9 +80,13 @@
   const parsed = parseReport(await readBody(ctx));
   if (!parsed.ok) {
     parts.log.info({ error: parsed.error }, "unreadable report");
-    return answer(ctx, 400, { error: parsed.error });
+    answer(ctx, 400, { error: parsed.error });
+    return;
   }
   const routed = await parts.report(parsed.value);
-  if (routed.kind === "commands") return answer(ctx, 200, routed.body);
+  if (routed.kind === "commands") {
+    answer(ctx, 200, routed.body);
+    return;
+  }
   answer(ctx, 421, redirectToWire(routed.owner));
 }
--- a/src/http/relay.ts
+++ b/src/http/relay.ts
@@ -4,15 +4,16 @@
  */
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
-import type { UserAnswer, UserDesk, UserRequest } from "./users.js";
+import type { UserAnswer, UserRequestHandler, UserRequest } from "./users.js";
 
+/** What the relay needs of the rest of the process. */
 export interface RelayParts {
-  own: UserDesk;
+  own: UserRequestHandler;
   peers: string[];
   /** Asks a peer, which answers itself or not at all: a request is passed on once. */
-  ask(peer: string, request: UserRequest): Promise<UserAnswer>;
+  ask: (peer: string, request: UserRequest) => Promise<UserAnswer>;
   /** Whether this node is known to be behind, so that asking itself only costs time. */
-  behind(): boolean;
+  behind: () => boolean;
   /** How long a peer that could not answer is not asked again. */
   pauseMs: number;
   clock: SteadyClock;
@@ -24,7 +25,8 @@
 
 const UNAVAILABLE: UserAnswer = { status: 503, body: { error: "cannot answer now" } };
 
-export class Relay implements UserDesk {
+/** Answers users' requests itself, or passes them to a peer once. */
+export class Relay implements UserRequestHandler {
   /** Peers that could not answer lately. In an outage nobody can, and requests must not go round. */
   private readonly pausedUntil = new Map<string, number>();
   private next = 0;
--- a/src/http/users.ts
+++ b/src/http/users.ts
@@ -2,6 +2,7 @@
 import type { JobService, LookResult } from "../jobs/service.js";
 import { acceptedToWire, isJobId, parseSubmission, paths, statusToWire } from "../wire/index.js";
 
+/** A user's request, freed of HTTP. */
 export interface UserRequest {
   method: string;
   path: string;
@@ -9,6 +10,7 @@
   body: unknown;
 }
 
+/** The answer to a user, freed of HTTP. */
 export interface UserAnswer {
   status: number;
   body: object;
@@ -17,13 +19,17 @@
 }
 
 /** Whoever answers users' requests: this node itself, or one that passes on what it cannot answer. */
-export interface UserDesk {
+export interface UserRequestHandler {
   answer(request: UserRequest): Promise<UserAnswer>;
 }
 
-type Route = { allow: string; answer(): Promise<UserAnswer> };
+interface Route {
+  allow: string;
+  answer(): Promise<UserAnswer>;
+}
 
-export class JobDesk implements UserDesk {
+/** Answers users' requests from the job service. */
+export class JobRequestHandler implements UserRequestHandler {
   constructor(private readonly jobs: JobService) {}
 
   answer(request: UserRequest): Promise<UserAnswer> {
--- a/src/jobs/admission.ts
+++ b/src/jobs/admission.ts
@@ -2,6 +2,7 @@
 import type { Settings } from "../config/settings.js";
 import type { JobSpec, MachineType } from "../wire/index.js";
 
+/** Whether a job can run, and if not why. */
 export type Admission = { kind: "ok" } | { kind: "malformed" | "impossible"; reason: string };
 
 /** Whether one task of the job fits an empty machine of this type. */
@@ -9,6 +10,7 @@
   return spec.cpus <= type.cpus && spec.gpus <= type.gpus && spec.memoryGb <= type.memoryGb;
 }
 
+/** Checks a submission against teams, zones and machine types. */
 export function admit(
   spec: JobSpec,
   settings: Pick<Settings, "zones" | "teams">,
--- a/src/jobs/bits.ts
+++ b/src/jobs/bits.ts
@@ -1,6 +1,7 @@
 /** A set of task numbers, packed; kept in the state service in chunks that fit its values. */
 export const CHUNK_TASKS = 16_384;
 
+/** A set of task numbers as a bitmap that knows its size. */
 export class Bits {
   private readonly bytes: Uint8Array;
   count = 0;
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -1,5 +1,5 @@
 /**
- * Where a share's completed tasks are written: many jobs in one record, since the state service takes few writes a
+ * Where a shard's completed tasks are written: many jobs in one record, since the state service takes few writes a
  * second. Only jobs of very many tasks have records of their own.
  */
 import { keys, prefixes } from "../state/keys.js";
@@ -12,13 +12,14 @@
 /** A record is filled up to this part: names and marks around the bits take room as well. */
 const FULL = 3 / 4;
 
+/** Which completed tasks of which jobs of a shard lie in which shared record. */
 export class ProgressPages {
   private readonly pages: Map<string, string>[] = [];
   private readonly pageOf = new Map<string, number>();
 
   constructor(private readonly valueBytes: number) {}
 
-  /** Whether a job of so many tasks shares a record with others. */
+  /** Whether a job of so many tasks shards a record with others. */
   holds(tasks: number): boolean {
     return (tasks / 8) * (4 / 3) <= this.valueBytes * LARGE;
   }
@@ -64,9 +65,9 @@
 }
 
 /** How many of a job's tasks the records show completed. */
-export function durablyDone(view: ReplicaView, share: number, id: string, tasks: number): number {
+export function durablyDone(view: ReplicaView, shard: number, id: string, tasks: number): number {
   const bits = new Bits(tasks);
-  for (const entry of view.under(`${prefixes.done}${share}/`)) {
+  for (const entry of view.under(`${prefixes.done}${shard}/`)) {
     const text = readProgress(entry.value)?.[id];
     if (text !== undefined) bits.mergeChunk(0, text);
   }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -24,15 +24,17 @@
   deadlineS: z.number().nullable(),
 }) satisfies z.ZodType<JobSpec>;
 
-/** The share is chosen once, when the job is accepted. `acceptedAt` is time of day: it orders jobs and dates deadlines, and nothing safe hangs on it. */
+/** The shard is chosen once, when the job is accepted. `acceptedAt` is time of day: it orders jobs and dates deadlines, and nothing safe hangs on it. */
 const jobRecordSchema = z.object({
   spec: specSchema,
-  share: z.int().nonnegative(),
+  shard: z.int().nonnegative(),
   acceptedAt: z.number(),
 });
+/** A live job as the state service holds it. */
 export type JobRecord = z.infer<typeof jobRecordSchema>;
 
 const endedSchema = z.object({ stage: z.enum(["done", "cancelled"]), done: z.number() });
+/** A job that is over; kept for good. */
 export type EndedRecord = z.infer<typeof endedSchema>;
 
 const doneSchema = z.object({ bits: z.string() });
--- a/src/jobs/service.ts
+++ b/src/jobs/service.ts
@@ -11,23 +11,26 @@
 import type { Logger } from "../runtime/log.js";
 import type { Change, JobSpec, JobStage, JobStatus, MachineType } from "../wire/index.js";
 import { admit } from "./admission.js";
-import type { Parting } from "./parting.js";
+import type { ShardAssignment } from "./shard-assignment.js";
 import { durablyDone } from "./progress.js";
 import { readEnded, readJob, type EndedRecord, type JobRecord } from "./records.js";
 
+/** How a submission ended. */
 export type SubmitResult =
   | { kind: "accepted"; stage: JobStage; fresh: boolean }
   | { kind: "malformed" | "impossible"; reason: string }
   | { kind: "unavailable" };
 
+/** How a question after a job, or its cancellation, ended. */
 export type LookResult = { kind: "found"; status: JobStatus } | { kind: "unknown" } | { kind: "unavailable" };
 
-/** Counts for display, from the share's owner; null where it does not answer. */
-export type CountsOf = (share: number, job: string) => Promise<{ done: number; running: number } | null>;
+/** Counts for display, from the shard's owner; null where it does not answer. */
+export type CountsOf = (shard: number, job: string) => Promise<{ done: number; running: number } | null>;
 
 const REMEMBERED = 10_000;
 const CANCEL_TRIES = 4;
 
+/** Accepts, looks up and cancels jobs, each by the state service and never by memory alone unless final. */
 export class JobService {
   /** Final states never change, so that they may be answered from memory. */
   private readonly ended = new LRUCache<string, EndedRecord>({ max: REMEMBERED });
@@ -38,12 +41,12 @@
     private readonly view: ReplicaView,
     private readonly freshness: Freshness,
     private readonly types: () => Map<string, MachineType>,
-    private readonly parting: Parting,
+    private readonly shardAssignment: ShardAssignment,
     private readonly countsOf: CountsOf,
-    /** Tells the owner of a job's share that it is cancelled. */
-    private readonly tellCancelled: (share: number, job: string) => void,
+    /** Tells the owner of a job's shard that it is cancelled. */
+    private readonly tellCancelled: (shard: number, job: string) => void,
     /** How long a submission may wait for its turn to be written. */
-    private readonly patienceMs: number,
+    private readonly queueTimeoutMs: number,
     private readonly log: Logger,
   ) {}
 
@@ -60,13 +63,13 @@
     const types = [...this.types().values()];
     return this.guarded(async (): Promise<SubmitResult> => {
       const admission = types.length === 0 ? null : admit(spec, this.settings, types);
-      if (admission === null || admission.kind !== "ok") {
+      if (admission?.kind !== "ok") {
         // A job that was accepted once stays accepted, whatever the types or a repeat say by now.
         const known = await this.look(spec.id);
         if (known.kind === "found") return { kind: "accepted", stage: known.status.stage, fresh: false };
         return admission === null || known.kind === "unavailable" ? { kind: "unavailable" } : admission;
       }
-      const record: JobRecord = { spec, share: this.parting.shareFor(spec), acceptedAt: Date.now() };
+      const record: JobRecord = { spec, shard: this.shardAssignment.shardFor(spec), acceptedAt: Date.now() };
       const commit = await this.state.commit(
         [
           { key: keys.job(spec.id), version: 0 },
@@ -74,7 +77,7 @@
         ],
         [{ put: keys.job(spec.id), value: record }],
         "user",
-        this.patienceMs,
+        this.queueTimeoutMs,
       );
       if (commit.ok) return { kind: "accepted", stage: "pending", fresh: true };
       const known = await this.look(spec.id);
@@ -94,8 +97,8 @@
       if (entry === undefined) return this.lookEnded(id);
       const job = readJob(entry.value);
       if (job === null) return { kind: "unavailable" };
-      const counts = (await this.countsOf(job.share, id)) ?? {
-        done: durablyDone(this.view, job.share, id, job.spec.tasks),
+      const counts = (await this.countsOf(job.shard, id)) ?? {
+        done: durablyDone(this.view, job.shard, id, job.spec.tasks),
         running: 0,
       };
       const done = Math.min(counts.done, job.spec.tasks);
@@ -112,18 +115,18 @@
         const entry = await this.state.read(keys.job(id));
         if (entry === null) return this.lookEnded(id);
         const job = readJob(entry.value);
-        const done = job === null ? 0 : durablyDone(this.view, job.share, id, job.spec.tasks);
+        const done = job === null ? 0 : durablyDone(this.view, job.shard, id, job.spec.tasks);
         const ended: EndedRecord = { stage: "cancelled", done };
         // Whoever changes the job's record first wins: a completion on its way then fails, or this does.
         const commit = await this.state.commit(
           [{ key: keys.job(id), version: entry.version }],
           [{ put: keys.ended(id), value: ended }, { remove: keys.job(id) }],
           "user",
-          this.patienceMs,
+          this.queueTimeoutMs,
         );
         if (!commit.ok) continue;
         this.log.info({ job: id }, "job cancelled");
-        if (job !== null) this.tellCancelled(job.share, id);
+        if (job !== null) this.tellCancelled(job.shard, id);
         this.ended.set(id, ended);
         return { kind: "found", status: endedStatus(id, ended) };
       }
--- a/src/main.ts
+++ b/src/main.ts
@@ -41,7 +41,9 @@
 async function serve(files: Files): Promise<void> {
   const { settings, operator } = await load(files);
   const log = createLogger(settings.node);
-  process.on("unhandledRejection", (err) => log.error({ err }, "unhandled rejection"));
+  process.on("unhandledRejection", (err) => {
+    log.error({ err }, "unhandled rejection");
+  });
   await new Controller(settings, operator, log).start();
 }
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,6 +1,6 @@
 /**
- * The actor that keeps this process's hold on its membership, takes part in choosing the leader and owns or
- * passes on shares. Others ask it one thing: may I act for this share, now?
+ * The actor that maintains this process's membership lease, takes part in choosing the leader and owns or
+ * passes on shards. Others ask it one thing: may I act for this shard, now?
  */
 import { Actor } from "../runtime/actor.js";
 import type { SteadyClock } from "../runtime/clock.js";
@@ -10,7 +10,7 @@
 import { StateFailure, type StateClient } from "../state/client.js";
 import type { ReplicaView } from "../state/replica.js";
 import { CLOCK_DRIFT } from "../wire/index.js";
-import { claimOf, decideMembership, entryOf, type MembershipAction } from "./decide.js";
+import { transactionFor, decideMembership, entryOf, type MembershipAction } from "./decide.js";
 import {
   passedOn,
   readCluster,
@@ -18,41 +18,45 @@
   sameTerm,
   type Cluster,
   type Process,
-  type Raise,
+  type TokenAdvance,
 } from "./records.js";
 
+/** Durations that membership goes by, in milliseconds. */
 export interface MembershipFigures {
   /** How long the state service keeps this process's records without a renewal. */
-  holdMs: number;
-  /** What is taken off the hold on this side: drift, and time between a check and the act. */
+  membershipLeaseMs: number;
+  /** What is taken off the lease on this side: drift, and time between a check and the act. */
   marginMs: number;
   /** The oldest view of the records on which a worker's lease may still be renewed. */
   staleMs: number;
-  sharePeriodMs: number;
+  shardMovePeriodMs: number;
 }
 
+/** What the membership actor is told. */
 export type MembershipMessage =
   | { kind: "tick" }
   | { kind: "records" }
-  | { kind: "hold_ended" }
+  | { kind: "lease_ended" }
   | { kind: "acted" }
-  | { kind: "raise"; share: number }
-  | { kind: "hand_over"; share: number; to: string };
+  | { kind: "advance_token"; shard: number }
+  | { kind: "hand_over"; shard: number; to: string };
 
+/** What membership needs of the rest of the process. */
 export interface MembershipHooks {
-  /** Which shares this process owns may have changed. */
+  /** Which shards this process owns may have changed. */
   ownership(): void;
-  askHandOver(owner: string, share: number, to: string): void;
+  askHandOver(owner: string, shard: number, to: string): void;
 }
 
 /** How many renewals may be under way at once. */
 const MAX_RENEWALS = 3;
 
+/** Maintains this process's lease and tells what it may act for right now. */
 export class Membership extends Actor<MembershipMessage> {
   cluster: Cluster;
   private lease: number | null = null;
-  private heldUntil = -Infinity;
-  /** The revision at which this process last entered the records: older views say nothing about its claims. */
+  private leaseValidUntil = -Infinity;
+  /** The revision at which this process last entered the records: older views say nothing about what it owns. */
   private enteredAt = Infinity;
   private entering = false;
   /** Renewals without an answer so far: a slow service must not keep the next one from being sent. */
@@ -61,16 +65,16 @@
   private ledSince: number | null = null;
   private lastMove = -Infinity;
   private busy = false;
-  /** A share to be passed on as soon as nothing else is under way. */
-  private askedHandOver: { share: number; to: string } | null = null;
-  /** The last time that this process raised a share's token itself. */
-  private readonly raises = new Map<number, Raise>();
-  /** Shares that this process has stepped back from while it passes them on. */
+  /** A shard to be passed on as soon as nothing else is under way. */
+  private askedHandOver: { shard: number; to: string } | null = null;
+  /** The last time that this process advanced a shard's token itself. */
+  private readonly tokenAdvances = new Map<number, TokenAdvance>();
+  /** Shards that this process has stepped back from while it passes them on. */
   private readonly released = new Set<number>();
 
   constructor(
     readonly me: Process,
-    private readonly shares: number,
+    private readonly shards: number,
     private readonly controllers: number,
     private readonly figures: MembershipFigures,
     private readonly state: StateClient,
@@ -80,30 +84,32 @@
     log: Logger,
   ) {
     super(log);
-    this.cluster = readCluster(view, shares);
+    this.cluster = readCluster(view, shards);
   }
 
-  /** The token of a share, if this process may act for it right now; otherwise null. */
-  token(share: number): number | null {
-    const record = this.cluster.shares[share];
+  /** The token of a shard, if this process may act for it right now; otherwise null. */
+  token(shard: number): number | null {
+    const record = this.cluster.shards[shard];
     if (record === null || record === undefined || !sameProcess(record, this.me)) return null;
-    return this.released.has(share) || !this.holds() ? null : record.version;
+    return this.released.has(shard) || !this.holdsLease() ? null : record.version;
   }
 
-  /** Whether what an owner knew of its share at a version still holds at the present one. */
-  continues(share: number, known: number): boolean {
-    const record = this.cluster.shares[share];
-    return record !== null && record !== undefined && sameTerm(known, record, this.raises.get(share));
+  /** Whether what an owner knew of its shard at a version is still true at the present one. */
+  continues(shard: number, known: number): boolean {
+    const record = this.cluster.shards[shard];
+    return record !== null && record !== undefined && sameTerm(known, record, this.tokenAdvances.get(shard));
   }
 
   /** Whether this process leads right now, and the version of the record that says so. */
   leadership(): number | null {
-    return sameProcess(this.cluster.leader, this.me) && this.holds() ? this.cluster.leader!.version : null;
+    return sameProcess(this.cluster.leader, this.me) && this.holdsLease()
+      ? this.cluster.leader!.version
+      : null;
   }
 
-  /** The live owner of a share, as far as the records say. */
-  owner(share: number): string | null {
-    const record = this.cluster.shares[share];
+  /** The live owner of a shard, as far as the records say. */
+  owner(shard: number): string | null {
+    const record = this.cluster.shards[shard];
     return record && this.cluster.members.has(record.node) ? record.node : null;
   }
 
@@ -111,11 +117,11 @@
     return this.cluster.leader?.node ?? null;
   }
 
-  /** Another may be given this process's shares only after its hold has ended, which is never before `heldUntil`. */
-  private holds(): boolean {
+  /** Another may be given this process's shards only after its lease has ended, which is never before `leaseValidUntil`. */
+  private holdsLease(): boolean {
     const now = this.clock();
     return (
-      now < this.heldUntil &&
+      now < this.leaseValidUntil &&
       this.view.revision >= this.enteredAt &&
       // Guards against renewing leases for a task whose cancellation has not reached us.
       now - this.view.asOf < this.figures.staleMs
@@ -125,36 +131,36 @@
   protected override receive(message: MembershipMessage): void {
     switch (message.kind) {
       case "tick":
-        this.keepHold();
+        this.maintainLease();
         this.act();
         return;
       case "records":
-        this.follow(readCluster(this.view, this.shares));
+        this.follow(readCluster(this.view, this.shards));
         this.noteChanges();
         this.act();
         return;
-      case "hold_ended":
+      case "lease_ended":
         this.lease = null;
-        this.heldUntil = -Infinity;
-        this.keepHold();
+        this.leaseValidUntil = -Infinity;
+        this.maintainLease();
         return;
       case "acted":
         this.busy = false;
         this.handOverAsked();
         return;
-      case "raise":
-        void this.raise(message.share);
+      case "advance_token":
+        void this.advanceToken(message.shard);
         return;
       case "hand_over":
-        // Guards against a leader that owns every share and never passes one on: it asks itself in the middle of acting.
-        this.askedHandOver = { share: message.share, to: message.to };
+        // Guards against a leader that owns every shard and never passes one on: it asks itself in the middle of acting.
+        this.askedHandOver = { shard: message.shard, to: message.to };
         this.handOverAsked();
         return;
     }
   }
 
   private follow(cluster: Cluster): void {
-    // Guards against giving a share straight back to a node that has just passed it on: every move counts for the period.
+    // Guards against giving a shard straight back to a node that has just passed it on: every move counts for the period.
     if (passedOn(this.cluster, cluster)) this.lastMove = this.clock();
     this.cluster = cluster;
   }
@@ -168,44 +174,44 @@
       if (this.ledSince !== null) this.log.info({ leader: this.leader() }, "no longer leading");
       this.ledSince = null;
     }
-    // A share that another owns by now has been passed on; should it come back, it starts afresh.
-    for (const share of this.released)
-      if (!sameProcess(this.cluster.shares[share], this.me)) this.released.delete(share);
+    // A shard that another owns by now has been passed on; should it come back, it starts afresh.
+    for (const shard of this.released)
+      if (!sameProcess(this.cluster.shards[shard], this.me)) this.released.delete(shard);
     const member = this.cluster.members.get(this.me.node);
     if (this.lease !== null && this.view.revision >= this.enteredAt && !sameProcess(member, this.me)) {
-      // The record is gone although we renewed: the service has dropped the lease, so the claim is void.
+      // The record is gone although we renewed: the service has dropped the lease, so nothing is owned any more.
       this.log.info("membership record is gone");
-      this.tell({ kind: "hold_ended" });
+      this.tell({ kind: "lease_ended" });
     }
     this.hooks.ownership();
   }
 
-  private keepHold(): void {
+  private maintainLease(): void {
     if (this.lease === null) {
       if (!this.entering) void this.enter();
       return;
     }
     const now = this.clock();
-    if (this.renewing < MAX_RENEWALS && now - this.lastRenewal >= this.figures.holdMs / 5)
+    if (this.renewing < MAX_RENEWALS && now - this.lastRenewal >= this.figures.membershipLeaseMs / 5)
       void this.renew(this.lease);
   }
 
   private validFrom(sentAt: number): number {
-    return sentAt + this.figures.holdMs * (1 - CLOCK_DRIFT) - this.figures.marginMs;
+    return sentAt + this.figures.membershipLeaseMs * (1 - CLOCK_DRIFT) - this.figures.marginMs;
   }
 
   private async enter(): Promise<void> {
     this.entering = true;
     try {
       const sentAt = this.clock();
-      const lease = await this.state.grant(this.figures.holdMs);
+      const lease = await this.state.grant(this.figures.membershipLeaseMs);
       const known = await this.state.read(keys.member(this.me.node));
       const { guards, writes } = entryOf(this.me, lease, known?.version ?? 0);
       const commit = await this.state.commit(guards, writes, "ownership");
       if (!commit.ok) return;
       this.lease = lease;
       this.enteredAt = commit.revision;
-      this.heldUntil = this.validFrom(sentAt);
+      this.leaseValidUntil = this.validFrom(sentAt);
       this.lastRenewal = sentAt;
       this.log.info({ incarnation: this.me.incarnation }, "entered");
     } catch (err) {
@@ -221,30 +227,30 @@
     this.lastRenewal = sentAt;
     try {
       if (await this.state.renew(lease)) {
-        this.heldUntil = Math.max(this.heldUntil, this.validFrom(sentAt));
+        this.leaseValidUntil = Math.max(this.leaseValidUntil, this.validFrom(sentAt));
       } else if (lease === this.lease) {
-        this.log.info("hold ended");
-        this.tell({ kind: "hold_ended" });
+        this.log.info("membership lease ended");
+        this.tell({ kind: "lease_ended" });
       }
     } catch (err) {
       this.log.debug({ err: (err as Error).message }, "renewal failed");
-      // After an outage every hold has its full time again: the sooner it is proven, the sooner work goes on.
-      this.lastRenewal = Math.min(this.lastRenewal, sentAt - (this.figures.holdMs * 3) / 20);
+      // After an outage every lease has its full time again: the sooner it is proven, the sooner work goes on.
+      this.lastRenewal = Math.min(this.lastRenewal, sentAt - (this.figures.membershipLeaseMs * 3) / 20);
     } finally {
       this.renewing--;
     }
   }
 
   private act(): void {
-    if (this.busy || !this.holds()) return;
+    if (this.busy || !this.holdsLease()) return;
     const now = this.clock();
     const actions = decideMembership({
       me: this.me,
       cluster: this.cluster,
       controllers: this.controllers,
       ledMs: this.ledSince === null ? 0 : now - this.ledSince,
-      gatherMs: this.figures.holdMs,
-      mayMove: now - this.lastMove >= this.figures.sharePeriodMs,
+      gatherMs: this.figures.membershipLeaseMs,
+      mayMove: now - this.lastMove >= this.figures.shardMovePeriodMs,
     });
     if (actions.length === 0) return;
     this.busy = true;
@@ -266,35 +272,36 @@
   private async performOne(action: MembershipAction): Promise<void> {
     if (action.kind === "ask_hand_over") {
       this.lastMove = this.clock();
-      return this.hooks.askHandOver(action.owner, action.share, action.to);
+      this.hooks.askHandOver(action.owner, action.shard, action.to);
+      return;
     }
     if (this.lease === null) return;
-    const { guards, writes } = claimOf(action, this.me, this.lease, this.cluster);
+    const { guards, writes } = transactionFor(action, this.me, this.lease, this.cluster);
     const commit = await this.state.commit(guards, writes, "ownership");
     if (!commit.ok || action.kind !== "assign") return;
-    const { share, from, to } = action;
-    this.log.info({ share, from: from?.node, to: to.node, token: commit.revision }, "share assigned");
+    const { shard, from, to } = action;
+    this.log.info({ shard, from: from?.node, to: to.node, token: commit.revision }, "shard assigned");
   }
 
-  /** A worker has seen a higher token than this share's, for example with a machine's former share. */
-  private async raise(share: number): Promise<void> {
-    const record = this.cluster.shares[share];
-    if (!record || this.token(share) === null || this.busy) return;
+  /** A worker has seen a higher token than this shard's, for example with a machine's former shard. */
+  private async advanceToken(shard: number): Promise<void> {
+    const record = this.cluster.shards[shard];
+    if (!record || this.token(shard) === null || this.busy) return;
     this.busy = true;
     // Guards against not knowing an earlier try's success: the feed may show it only after this one has failed.
-    const earlier = this.raises.get(share);
+    const earlier = this.tokenAdvances.get(shard);
     const mark = earlier?.from === record.version ? earlier.mark : crypto.randomUUID();
-    this.raises.set(share, { from: record.version, mark });
+    this.tokenAdvances.set(shard, { from: record.version, mark });
     try {
       const commit = await this.state.commit(
-        [{ key: keys.share(share), version: record.version }],
-        [{ put: keys.share(share), value: { ...this.me, mark } }],
+        [{ key: keys.shard(shard), version: record.version }],
+        [{ put: keys.shard(shard), value: { ...this.me, mark } }],
         "ownership",
       );
       if (!commit.ok) return;
-      this.log.info({ share, token: commit.revision }, "token raised");
+      this.log.info({ shard, token: commit.revision }, "fencing token advanced");
     } catch (err) {
-      this.log.debug({ err: (err as Error).message, share }, "token not raised");
+      this.log.debug({ err: (err as Error).message, shard }, "fencing token not advanced");
     } finally {
       this.tell({ kind: "acted" });
     }
@@ -304,17 +311,17 @@
     const asked = this.askedHandOver;
     if (asked === null || this.busy) return;
     this.askedHandOver = null;
-    void this.handOver(asked.share, asked.to);
+    void this.handOver(asked.shard, asked.to);
   }
 
   /** Steps back first, writes second: by the time the new owner reads its name, this one has stopped. */
-  private async handOver(share: number, to: string): Promise<void> {
-    const record = this.cluster.shares[share];
+  private async handOver(shard: number, to: string): Promise<void> {
+    const record = this.cluster.shards[shard];
     const heir = this.cluster.members.get(to);
-    if (!record || !heir || this.token(share) === null) return;
+    if (!record || !heir || this.token(shard) === null) return;
     this.busy = true;
-    this.released.add(share);
-    const key = keys.share(share);
+    this.released.add(shard);
+    const key = keys.shard(shard);
     const guards = [
       { key, version: record.version },
       { key: keys.member(to), version: heir.version },
@@ -322,17 +329,17 @@
     const value: Process = { node: heir.node, incarnation: heir.incarnation };
     try {
       const commit = await this.state.commit(guards, [{ put: key, value }], "ownership");
-      if (commit.ok) this.log.info({ share, to, token: commit.revision }, "share handed over");
-      if (!commit.ok) this.released.delete(share);
+      if (commit.ok) this.log.info({ shard, to, token: commit.revision }, "shard handed over");
+      if (!commit.ok) this.released.delete(shard);
     } catch {
       // It may yet be applied. Only a newer version of the record, written by us, rules that out.
-      await this.settleRelease(share);
+      await this.settleRelease(shard);
     }
     this.tell({ kind: "acted" });
   }
 
-  private async settleRelease(share: number): Promise<void> {
-    const key = keys.share(share);
+  private async settleRelease(shard: number): Promise<void> {
+    const key = keys.shard(shard);
     for (let settled = false; !settled;) {
       try {
         const now = await this.state.read(key);
@@ -340,7 +347,7 @@
         if (now === null || !sameProcess(owner, this.me)) return;
         const guards = [{ key, version: now.version }];
         settled = (await this.state.commit(guards, [{ put: key, value: this.me }], "ownership")).ok;
-        if (settled) this.released.delete(share);
+        if (settled) this.released.delete(shard);
       } catch {
         await sleep(this.figures.marginMs);
       }
--- /dev/null
+++ b/src/peer-requests.ts
@@ -0,0 +1,81 @@
+/** Answers what other controllers ask: each request goes to the actor that it is for. */
+import type { Autoscaler } from "./autoscaling/autoscaler.js";
+import type { UserRequestHandler } from "./http/users.js";
+import type { Membership } from "./membership/membership.js";
+import type { PeerReply, PeerRequest, ShardLoadReport, Summary } from "./peers/messages.js";
+import type { ShardOwner } from "./placement/shard-owner.js";
+import { parseJson } from "./runtime/http-client.js";
+
+/** The answer where there is nothing to say. */
+export const NOTHING: PeerReply = { accepted: { hosts: [] } };
+
+/** Where requests of other controllers go. */
+export interface PeerRequestTargets {
+  autoscaler: Autoscaler;
+  membership: Membership;
+  users: UserRequestHandler;
+  /** The owner of a shard, if it is in this process. */
+  ownerOf: (shard: number) => ShardOwner | undefined;
+  /** Takes in how full a shard is, and tells how full all are. */
+  recordSummary: (summary: Summary) => ShardLoadReport[];
+}
+
+/** Answers one request of another controller, or of this process itself. */
+export async function answerPeerRequest(
+  request: PeerRequest,
+  targets: PeerRequestTargets,
+): Promise<PeerReply> {
+  const { autoscaler, membership, users, ownerOf, recordSummary } = targets;
+  if ("summary" in request) {
+    const { summary } = request;
+    const notes = recordSummary(summary);
+    await autoscaler.ask<boolean>((reply) => ({ kind: "summary", summary, reply }));
+    return { loads: { notes } };
+  }
+  if ("forward" in request) return forwarded(request.forward, users);
+  if ("lookup" in request) {
+    const { shard, job } = request.lookup;
+    const owner = ownerOf(shard);
+    if (owner === undefined) return { counts: { known: false, done: 0, running: 0 } };
+    return { counts: await owner.ask((reply) => ({ kind: "counts", job, reply })) };
+  }
+  if ("drain" in request || "give" in request) return leaving(request, ownerOf);
+  if ("handOver" in request) membership.tell({ kind: "hand_over", ...request.handOver });
+  if ("misroutedHeartbeat" in request) {
+    const { shard, cameTo } = request.misroutedHeartbeat;
+    // One worker alone says little; if none comes here any more, the shard is better off where they go.
+    if (ownerOf(shard)?.unheard) membership.tell({ kind: "hand_over", shard, to: cameTo });
+  }
+  if ("cancelled" in request) {
+    const { shard, job } = request.cancelled;
+    ownerOf(shard)?.tell({ kind: "cancelled", job });
+  }
+  if ("cordon" in request) {
+    const { shard, to, demand } = request.cordon;
+    ownerOf(shard)?.tell({ kind: "cordon", to, demand });
+  }
+  return NOTHING;
+}
+
+async function forwarded(
+  { method, path, body }: { method: string; path: string; body: string },
+  users: UserRequestHandler,
+): Promise<PeerReply> {
+  const { status, body: said } = await users.answer({ method, path, body: parseJson(body) });
+  return { answer: { status, body: JSON.stringify(said) } };
+}
+
+async function leaving(
+  request: Extract<PeerRequest, { drain: object } | { give: object }>,
+  ownerOf: PeerRequestTargets["ownerOf"],
+): Promise<PeerReply> {
+  const { shard, hosts } = "drain" in request ? request.drain : request.give;
+  const owner = ownerOf(shard);
+  if (owner === undefined) return NOTHING;
+  const accepted = await owner.ask<string[]>((reply) =>
+    "drain" in request
+      ? { kind: "drain", hosts, reply }
+      : { kind: "give", to: request.give.to, hosts, reply },
+  );
+  return { accepted: { hosts: accepted } };
+}
--- a/src/peers/framing.ts
+++ b/src/peers/framing.ts
@@ -5,6 +5,7 @@
 const HEADER_BYTES = 4;
 const MAX_FRAME_BYTES = 1024 * 1024;
 
+/** A frame as it goes over the connection. */
 export function frameBytes(frame: Frame): Buffer {
   const body = encodeFrame(frame);
   const bytes = Buffer.allocUnsafe(HEADER_BYTES + body.byteLength);
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -6,8 +6,10 @@
 import { FrameReader, frameBytes } from "./framing.js";
 import type { Frame, PeerReply, PeerRequest } from "./messages.js";
 
+/** A peer did not answer in time, or cannot be reached. */
 export class PeerSilent extends Error {}
 
+/** Answers another controller's request. */
 export type PeerHandler = (request: PeerRequest) => Promise<PeerReply>;
 
 /** Past this many unanswered questions a peer counts as silent: nothing may queue without bound. */
@@ -35,7 +37,10 @@
 
   ask(request: PeerRequest, timeoutMs = this.timeoutMs): Promise<PeerReply> {
     return new Promise((resolve, reject) => {
-      if (this.waiting.size >= MAX_WAITING) return reject(new PeerSilent(this.address));
+      if (this.waiting.size >= MAX_WAITING) {
+        reject(new PeerSilent(this.address));
+        return;
+      }
       const id = this.nextId++;
       const timer = setTimeout(() => {
         // Whatever is still under way on a connection that has gone quiet may be held by a cut: start over with a new
@@ -95,6 +100,7 @@
   close(): void;
 }
 
+/** Connections to all other controllers, and the server for theirs. */
 export class Peers implements PeerNetwork {
   private readonly links: Map<string, PeerLink>;
   private server: Server | null = null;
@@ -119,7 +125,9 @@
   }
 
   listen(address: string, handler: PeerHandler): Promise<number> {
-    this.server = createServer((socket) => this.serve(socket, handler));
+    this.server = createServer((socket) => {
+      this.serve(socket, handler);
+    });
     return listenOn(this.server, address, this.log);
   }
 
@@ -139,11 +147,14 @@
     const questions = new Writable({
       objectMode: true,
       write: (frame: Frame, _encoding, done) => {
-        if (frame.reply) return done(new Error("an answer to nothing"));
+        if (frame.reply) {
+          done(new Error("an answer to nothing"));
+          return;
+        }
         open++;
         handler(frame.body)
           .then((body) => void socket.write(frameBytes({ id: frame.id, reply: true, body })))
-          .catch((err: Error) => socket.destroy(err))
+          .catch((err: unknown) => socket.destroy(err as Error))
           .finally(() => {
             open--;
             resume?.();
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -20,19 +20,19 @@
     Loads loads = 10;
     Forward forward = 11;
     Answer answer = 12;
-    Astray astray = 13;
+    MisroutedHeartbeat misroutedHeartbeat = 13;
     Ping ping = 14;
     Cordon cordon = 15;
     Cancelled cancelled = 16;
   }
 }
 
-// An owner tells the leader what waits in a share and how its machines are: the leader sizes by it.
+// An owner tells the leader what waits in a shard and how its machines are: the leader sizes by it.
 message Summary {
-  uint32 share = 1;
+  uint32 shard = 1;
   uint64 token = 2;
   // All machines heard, or their leases surely over: what is said here is the whole truth.
-  bool settled = 3;
+  bool recovered = 3;
   repeated Demand demand = 4;
   repeated Machine machines = 5;
   Load load = 6;
@@ -41,10 +41,10 @@
 // Machines that are up, those of them without a task, and processors: all, used, waited for.
 message Load { uint32 up = 1; uint32 empty = 2; double cpus = 3; double used = 4; double waiting = 5; }
 
-message LoadNote { uint32 share = 1; Load load = 2; }
+message LoadReport { uint32 shard = 1; Load load = 2; }
 
-// The leader's answer to a summary: how full all shares are. Whoever accepts a job chooses its share by that.
-message Loads { repeated LoadNote notes = 1; }
+// The leader's answer to a summary: how full all shards are. Whoever accepts a job chooses its shard by that.
+message Loads { repeated LoadReport notes = 1; }
 
 // Whether a peer still answers, asked by a node that cannot follow the records.
 message Ping {}
@@ -69,16 +69,16 @@
   uint32 empty_reports = 4;
 }
 
-// The leader names machines to be given back: the owner stops placing on them, durably.
-message Drain { uint32 share = 1; repeated string hosts = 2; }
-// The leader asks an owner to pass empty machines on to another share.
-message Give { uint32 share = 1; uint32 to = 2; repeated string hosts = 3; }
-// The leader asks an owner to let one machine that suits run empty, for a share that has none and can rent none.
-message Cordon { uint32 share = 1; uint32 to = 2; Demand demand = 3; }
-// The leader asks an owner to pass the whole share on to another controller.
-message HandOver { uint32 share = 1; string to = 2; }
+// The leader selects machines for removal: their owner stops placing on them, durably.
+message Drain { uint32 shard = 1; repeated string hosts = 2; }
+// The leader asks an owner to pass empty machines on to another shard.
+message Give { uint32 shard = 1; uint32 to = 2; repeated string hosts = 3; }
+// The leader asks an owner to let one machine that suits run empty, for a shard that has none and can rent none.
+message Cordon { uint32 shard = 1; uint32 to = 2; Demand demand = 3; }
+// The leader asks an owner to pass the whole shard on to another controller.
+message HandOver { uint32 shard = 1; string to = 2; }
 // A worker that follows an owner's token came to another controller: it may not reach its owner any more.
-message Astray { uint32 share = 1; string came_to = 2; }
+message MisroutedHeartbeat { uint32 shard = 1; string came_to = 2; }
 message Accepted { repeated string hosts = 1; }
 
 // A user's request that a controller cannot answer, as it came; the peer answers itself or with 503.
@@ -86,12 +86,13 @@
 message Answer { uint32 status = 1; string body = 2; }
 
 // A job's cancellation is durable: its owner need not wait for the feed to tell it.
-message Cancelled { uint32 share = 1; string job = 2; }
+message Cancelled { uint32 shard = 1; string job = 2; }
 
-message Lookup { uint32 share = 1; string job = 2; }
+message Lookup { uint32 shard = 1; string job = 2; }
 message Counts { bool known = 1; uint32 done = 2; uint32 running = 3; }
 `;
 
+/** Tasks that need machines: what each takes, where it may run, and how many. */
 export interface Demand {
   cpus: number;
   gpus: number;
@@ -124,6 +125,7 @@
 /** `joining`: has spoken to an earlier owner, and not to this one yet. */
 export type MachineCondition = "booting" | "joining" | "idle" | "busy" | "silent" | "sick" | "draining";
 
+/** One machine as its owner sees it. */
 export interface MachineSummary {
   host: string;
   state: MachineCondition;
@@ -132,7 +134,8 @@
   emptyReports: number;
 }
 
-export interface ShareLoad {
+/** How full a shard is: machines, and processors in all, used and waited for. */
+export interface ShardLoad {
   up: number;
   empty: number;
   cpus: number;
@@ -140,41 +143,47 @@
   waiting: number;
 }
 
-export interface ShareLoadNote {
-  share: number;
-  load: ShareLoad;
+/** The load of one shard. */
+export interface ShardLoadReport {
+  shard: number;
+  load: ShardLoad;
 }
 
-export interface Summary extends ShareLoadNote {
+/** What an owner tells the leader once a second. */
+export interface Summary extends ShardLoadReport {
   token: number;
-  settled: boolean;
+  recovered: boolean;
   demand: Demand[];
   machines: MachineSummary[];
 }
 
+/** A request between controllers. */
 export type PeerRequest =
   | { summary: Summary }
   | { ping: Record<string, never> }
-  | { drain: { share: number; hosts: string[] } }
-  | { give: { share: number; to: number; hosts: string[] } }
-  | { cordon: { share: number; to: number; demand: Demand } }
-  | { cancelled: { share: number; job: string } }
-  | { handOver: { share: number; to: string } }
-  | { astray: { share: number; cameTo: string } }
-  | { lookup: { share: number; job: string } }
+  | { drain: { shard: number; hosts: string[] } }
+  | { give: { shard: number; to: number; hosts: string[] } }
+  | { cordon: { shard: number; to: number; demand: Demand } }
+  | { cancelled: { shard: number; job: string } }
+  | { handOver: { shard: number; to: string } }
+  | { misroutedHeartbeat: { shard: number; cameTo: string } }
+  | { lookup: { shard: number; job: string } }
   | { forward: { method: string; path: string; body: string } };
 
+/** The answer to a request between controllers. */
 export type PeerReply =
-  | { loads: { notes: ShareLoadNote[] } }
+  | { loads: { notes: ShardLoadReport[] } }
   | { accepted: { hosts: string[] } }
   | { counts: { known: boolean; done: number; running: number } }
   | { answer: { status: number; body: string } };
 
+/** One request or answer on a connection between controllers. */
 export type Frame =
   { id: number; reply: false; body: PeerRequest } | { id: number; reply: true; body: PeerReply };
 
 const frameType = protobuf.parse(schema).root.lookupType("fernpond.Frame");
 
+/** Encodes a frame as protobuf. */
 export function encodeFrame(frame: Frame): Uint8Array {
   const message = frameType.fromObject({ id: frame.id, reply: frame.reply, ...frame.body });
   return frameType.encode(message).finish();
@@ -182,7 +191,7 @@
 
 /** Throws on bytes that are no frame. */
 export function decodeFrame(bytes: Uint8Array): Frame {
-  const plain = frameType.toObject(frameType.decode(bytes), {
+  const plain: Record<string, unknown> = frameType.toObject(frameType.decode(bytes), {
     longs: Number,
     defaults: true,
     arrays: true,
--- /dev/null
+++ b/src/placement/failure-tracker.ts
@@ -0,0 +1,64 @@
+/** Tells jobs that were submitted with a mistake from faulty machines, by where else each of them does well. */
+import type { Logger } from "../runtime/log.js";
+import { BESIDE_ROOM_S } from "../wire/index.js";
+import type { Job, Machine } from "../workers/model.js";
+
+/** A job that fails on so many machines is at fault itself. */
+const FAULTY_JOB_MACHINES = 3;
+
+/** The longest that a faulty job is not tried, as a part of the time that nobody waits beside room. */
+const MOST_BACK_OFF = 2 / 3;
+
+/** So many leases after a failure the job may be tried on that machine again. */
+const FORGIVEN_LEASES = 2;
+
+/** A machine on which so many jobs fail, with no success between, is at fault itself. */
+const FAULTY_MACHINE_JOBS = 2;
+
+/** Counts failures per job and machine, quarantines machines and retries faulty jobs with growing pauses. */
+export class FailureTracker {
+  constructor(
+    private readonly machines: ReadonlyMap<string, Machine>,
+    private readonly leaseMs: number,
+    private readonly log: Logger,
+  ) {}
+
+  /** A task ended well: neither its job nor its machine is at fault. */
+  succeeded(job: Job, machine: Machine): void {
+    machine.failedJobs.clear();
+    job.failures = 0;
+    job.suspect = false;
+  }
+
+  /** A task of the job failed on the machine. */
+  failed(job: Job, machine: Machine, now: number): void {
+    // What was still under way when the job was found faulty says nothing new, of it or of its machines.
+    if (job.notBefore > now) return;
+    job.failedOn.set(machine.host, now);
+    machine.failedJobs.add(job.spec.id);
+    if (job.suspect || job.failedOn.size >= FAULTY_JOB_MACHINES) this.backOff(job, now);
+    else if (machine.failedJobs.size >= FAULTY_MACHINE_JOBS && !machine.sick) {
+      machine.sick = true;
+      this.log.info({ host: machine.host, jobs: [...machine.failedJobs] }, "machine quarantined");
+    }
+  }
+
+  /**
+   * It fails wherever it runs. Its machines are not to blame, and it is tried again ever more rarely, but within the time
+   * that nobody waits beside room: it may have been the machines after all.
+   */
+  private backOff(job: Job, now: number): void {
+    for (const host of job.failedOn.keys()) this.machines.get(host)?.failedJobs.delete(job.spec.id);
+    job.failedOn.clear();
+    job.suspect = true;
+    job.notBefore = now + Math.min(2 ** job.failures * this.leaseMs, MOST_BACK_OFF * BESIDE_ROOM_S * 1000);
+    job.failures++;
+    this.log.info({ job: job.spec.id, failures: job.failures }, "job fails on every machine, backing off");
+  }
+
+  /** Guards against a job that waits for ever beside room: the only machines may be those on which it once failed. */
+  forgive(jobs: Iterable<Job>, now: number): void {
+    for (const { failedOn } of jobs)
+      for (const [host, at] of failedOn) if (now - at > FORGIVEN_LEASES * this.leaseMs) failedOn.delete(host);
+  }
+}
--- a/src/placement/forecast.ts
+++ b/src/placement/forecast.ts
@@ -4,9 +4,10 @@
  */
 import type { MachineType } from "../wire/index.js";
 import type { Job, Machine, Placement } from "../workers/model.js";
-import { allows, countZone, fits, zoneAllowed, zonesOf, type Amounts } from "./place.js";
+import { allows, countZone, fits, zoneAllowed, zonesOf, type Amounts } from "./capacity.js";
 import { expectedRunMs, fetchMs, latestStart, orderByUrgency, rentMs, type Plan } from "./urgency.js";
 
+/** What the forecast is made from. */
 export interface ForecastInput extends Plan {
   /** Waiting jobs and how many of their tasks may run, by their teams' limits. */
   waiting: Map<Job, number>;
@@ -29,6 +30,7 @@
 /** How much of a job's slack is left to rooms that should come free. */
 const TRUST = 0.3;
 
+/** In how many milliseconds a task is expected to end. */
 export function endsIn(placement: Placement, type: MachineType, input: Plan & { now: number }): number {
   const run = expectedRunMs(placement.job, input);
   if (placement.state === "saving") return placement.job.spec.saveS * 1000;
@@ -37,7 +39,7 @@
 }
 
 /** How long a job's tasks may wait before an aim is at risk; at least what renting would take. */
-function patienceMs(job: Job, input: ForecastInput): number {
+function longestWaitMs(job: Job, input: ForecastInput): number {
   const rent = rentMs(job, input);
   const slack = latestStart(job, input) - input.wallNow;
   // Estimates are often off by half, and more urgent jobs may yet come: only part of the slack is counted on.
@@ -51,19 +53,20 @@
   zone: string | null;
 }
 
+/** The waiting tasks that running ones will not make room for in time. */
 export function uncovered(input: ForecastInput): Uncovered[] {
   const rest: Uncovered[] = [];
   if (input.waiting.size === 0) return rest;
   const rooms = input.machines.filter((m) => m.usable).flatMap((m) => roomsOf(m, input));
   for (const job of orderByUrgency([...input.waiting.keys()], input)) {
-    const patience = patienceMs(job, input);
+    const longestWait = longestWaitMs(job, input);
     const run = expectedRunMs(job, input);
     let count = input.waiting.get(job)!;
     const { oneZone, spread, tasks } = job.spec;
     const zones = oneZone || (spread && tasks > 1) ? zonesOf(job) : null;
     const open: { room: Room; at: number }[] = [];
     const offer = (room: Room): void => {
-      const at = firstFit(room.pieces, job, patience);
+      const at = firstFit(room.pieces, job, longestWait);
       if (at !== null) insertByTime(open, { room, at });
     };
     for (const room of rooms) if (allows(job, room.machine)) offer(room);
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -18,8 +18,9 @@
   zoneAllowed,
   zonesOf,
   type Amounts,
-  type RoundInput,
-} from "./place.js";
+  type Usage,
+} from "./capacity.js";
+import type { RoundInput } from "./place.js";
 import { expectedRunMs, latestStart, orderByUrgency, rentMs, slackOfRunning } from "./urgency.js";
 
 interface Room extends Amounts {
@@ -34,10 +35,12 @@
 const URGENT = PRIORITIES.indexOf("urgent");
 const rank = (job: Job): number => PRIORITIES.indexOf(job.spec.priority);
 
+/** What preemption is decided on. */
 export interface PreemptInput extends RoundInput {
   reportMs: number;
 }
 
+/** Which tasks to stop, and what for. */
 export interface Preemption {
   victims: Placement[];
   /** The machines on which room is made, and for which job. */
@@ -68,12 +71,14 @@
   for (const job of waiting.sort((a, b) => place.get(a)! - place.get(b)!)) {
     const team = input.teams.find((t) => t.name === job.spec.team);
     const open = rooms.filter(
-      ({ machine }) => allows(job, machine) && (input.reserved.get(machine) ?? job) === job,
+      ({ machine }) => allows(job, machine) && (input.preemptionReservations.get(machine) ?? job) === job,
     );
     const zones = zonesOf(job);
+    const used = usage.get(job.spec.team)!;
+    const search = { job, team, used, unseen, zones, place, givesWay, now: input.now };
     for (let left = job.waiting; left > 0; left--) {
       if (clock() > deadline) return chosen;
-      const plan = makeRoom(job, team, open, zones, usage, unseen, place, givesWay, input);
+      const plan = makeRoom(search, open);
       if (plan === null) break;
       for (const victim of plan.victims) {
         const room = rooms.find((r) => r.machine === victim.machine)!;
@@ -157,19 +162,23 @@
   return input.now - placement.since < HARDLY_BEGUN * expectedRunMs(placement.job, input);
 }
 
+/** What is the same for all tasks of one job for which room is looked for. */
+interface Search {
+  job: Job;
+  team: Team | undefined;
+  /** What the job's team uses. */
+  used: Usage;
+  unseen: Usage;
+  zones: Map<string, number>;
+  /** The place of each job in the queue. */
+  place: Map<Job, number>;
+  givesWay: (victim: Placement) => boolean;
+  now: number;
+}
+
 /** The room for one more task and what must be stopped for it; null if it cannot be had. */
-function makeRoom(
-  job: Job,
-  team: Team | undefined,
-  rooms: Room[],
-  zones: Map<string, number>,
-  usage: Map<string, { cpus: number; gpus: number }>,
-  unseen: { cpus: number; gpus: number },
-  place: Map<Job, number>,
-  givesWay: (victim: Placement) => boolean,
-  input: PreemptInput,
-): { room: Room; victims: Placement[] } | null {
-  const used = usage.get(job.spec.team)!;
+function makeRoom(search: Search, rooms: Room[]): { room: Room; victims: Placement[] } | null {
+  const { job, team, used, unseen, zones, now } = search;
   const limited = !underLimit(team, used, unseen, job.spec);
   let best: { room: Room; victims: Placement[]; cost: number } | null = null;
   for (const room of rooms) {
@@ -178,34 +187,41 @@
     const stoppable = lowest !== undefined && rank(lowest.job) < rank(job);
     if (!stoppable && (limited || !fits(room, job.spec))) continue;
     if (!zoneAllowed(job, room.machine.record.zone, zones)) continue;
-    const victims: Placement[] = [];
-    const free: Amounts = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
-    const after = { ...used };
-    for (const victim of room.victims) {
-      const enough = fits(free, job.spec) && underLimit(team, after, unseen, job.spec);
-      if (enough || rank(victim.job) >= rank(job)) break;
-      if (place.get(victim.job)! < place.get(job)!) continue;
-      if (rank(job) < URGENT && !givesWay(victim)) continue;
-      const own = victim.job.spec.team === job.spec.team;
-      // Another team's task makes room on the machine, but not under this team's limit.
-      if (limited && !own && !underLimit(team, after, unseen, job.spec)) continue;
-      victims.push(victim);
-      add(free, victim.job.spec, 1);
-      if (own) add(after, victim.job.spec, -1);
-    }
-    if (!fits(free, job.spec) || !underLimit(team, after, unseen, job.spec)) continue;
-    const cost = victims.reduce((sum, v) => sum + stopCost(v, input), 0);
+    const victims = victimsIn(room, search, limited);
+    if (victims === null) continue;
+    const cost = victims.reduce((sum, victim) => sum + stopCost(victim, now), 0);
     if (best === null || cost < best.cost) best = { room, victims, cost };
     if (cost === 0) break;
   }
   return best;
 }
 
+/** What must be stopped in one room for one more task; null if stopping does not make enough room. */
+function victimsIn(room: Room, search: Search, limited: boolean): Placement[] | null {
+  const { job, team, used, unseen, place, givesWay } = search;
+  const victims: Placement[] = [];
+  const free: Amounts = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
+  const after = { ...used };
+  const enough = (): boolean => fits(free, job.spec) && underLimit(team, after, unseen, job.spec);
+  for (const victim of room.victims) {
+    if (enough() || rank(victim.job) >= rank(job)) break;
+    if (place.get(victim.job)! < place.get(job)!) continue;
+    if (rank(job) < URGENT && !givesWay(victim)) continue;
+    const own = victim.job.spec.team === job.spec.team;
+    // Another team's task makes room on the machine, but not under this team's limit.
+    if (limited && !own && !underLimit(team, after, unseen, job.spec)) continue;
+    victims.push(victim);
+    add(free, victim.job.spec, 1);
+    if (own) add(after, victim.job.spec, -1);
+  }
+  return enough() ? victims : null;
+}
+
 /** Processor time thrown away: saving, or what was done since the last checkpoint. */
-function stopCost(victim: Placement, input: PreemptInput): number {
+function stopCost(victim: Placement, now: number): number {
   const { spec } = victim.job;
   if (victim.state !== "running") return spec.cpus;
-  return spec.cpus * (spec.checkpointS > 0 ? spec.saveS : (input.now - victim.since) / 1000);
+  return spec.cpus * (spec.checkpointS > 0 ? spec.saveS : (now - victim.since) / 1000);
 }
 
 function add(to: { cpus: number; gpus: number; memoryGb?: number }, what: Amounts, sign: 1 | -1): void {
--- a/src/placement/share-keeper.ts
+++ b/src/placement/shard-owner.ts
@@ -1,4 +1,4 @@
-/** The actor that owns one share while this process is its owner: answers workers, places, writes what is done. */
+/** The actor that owns one shard while this process is its owner: answers workers, places, writes what is done. */
 import { Actor } from "../runtime/actor.js";
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
@@ -10,14 +10,17 @@
 import type { Fleet, FleetChange } from "../workers/fleet.js";
 import { readGroup } from "../workers/records.js";
 import { commandsToWire, type Change, type WorkerReport } from "../wire/index.js";
-import type { Completion, Share } from "./share.js";
+import type { Completion } from "./completion-log.js";
+import type { Shard } from "./shard.js";
 
+/** The owner's answer to a worker's report. */
 export type ReportAnswer =
   | { kind: "commands"; body: object }
   /** Not entitled, or it makes no sense to act: the worker should look elsewhere or come again. */
   | { kind: "refused" };
 
-export type KeeperMessage =
+/** What a shard owner is told. */
+export type ShardOwnerMessage =
   | { kind: "records"; changes: Change[] | null }
   | { kind: "report"; report: WorkerReport; reply: (answer: ReportAnswer) => void }
   | { kind: "tick" }
@@ -33,28 +36,31 @@
   | { kind: "cordon"; to: number; demand: Demand }
   | { kind: "give"; to: number; hosts: string[]; reply: (hosts: string[]) => void };
 
-export interface KeeperHooks {
-  /** The share's token if this process may act for it now. */
+/** What a shard owner needs of the rest of the process. */
+export interface ShardOwnerHooks {
+  /** The shard's token if this process may act for it now. */
   token(): number | null;
-  raiseToken(): void;
+  advanceToken(): void;
   summary(summary: Summary): void;
 }
 
-export interface KeeperFigures {
+/** Durations that a shard owner goes by. */
+export interface ShardOwnerTimings {
   /** How long a round of placing may take. */
   roundMs: number;
   /** The least time between two summaries, and between two writes of completions. */
   spacingMs: number;
   /** The least time between two looks for tasks to stop. */
   preemptMs: number;
-  /** After so many ticks without a report the share's workers do not reach this node. */
+  /** After so many ticks without a report the shard's workers do not reach this node. */
   quietTicks: number;
 }
 
 /** The whole rounds that reports lead to take at most about this part of the time. */
 const ROUNDS_PART = 1 / 8;
 
-export class ShareKeeper extends Actor<KeeperMessage> {
+/** Acts for one shard from the moment this process owns it until it is retired. */
+export class ShardOwner extends Actor<ShardOwnerMessage> {
   private writing = false;
   private noting = false;
   private lastWrite = -Infinity;
@@ -65,25 +71,25 @@
   /** Before this no report leads to a whole round of placing. */
   private nextRoundAt = -Infinity;
   private token: number | null = null;
-  /** Ticks since a worker of the share last came here. In ticks, since a process that stood still has heard nobody. */
+  /** Ticks since a worker of the shard last came here. In ticks, since a process that stood still has heard nobody. */
   private quietTicks = 0;
-  /** Set when another keeper, or another node, has taken the share's place. */
+  /** Set when another owner, or another node, has taken the shard's place. */
   private retired = false;
 
   constructor(
-    private readonly share: Share,
-    private readonly figures: KeeperFigures,
+    private readonly shard: Shard,
+    private readonly figures: ShardOwnerTimings,
     private readonly state: StateClient,
     private readonly view: ReplicaView,
     private readonly fleet: Fleet,
     private readonly clock: SteadyClock,
-    private readonly hooks: KeeperHooks,
+    private readonly hooks: ShardOwnerHooks,
     log: Logger,
   ) {
     super(log);
   }
 
-  /** The share is no longer this keeper's: nothing it began is tried any further. */
+  /** The shard is no longer this owner's: nothing it began is tried any further. */
   retire(): void {
     this.retired = true;
   }
@@ -93,10 +99,10 @@
     return this.quietTicks > this.figures.quietTicks;
   }
 
-  protected override receive(message: KeeperMessage): void {
+  protected override receive(message: ShardOwnerMessage): void {
     switch (message.kind) {
       case "records":
-        this.share.sync(this.view, message.changes, this.clock());
+        this.shard.sync(this.view, message.changes, this.clock());
         return;
       case "report":
         this.quietTicks = 0;
@@ -113,16 +119,16 @@
         this.flush();
         return;
       case "counts":
-        message.reply(this.share.counts(message.job));
+        message.reply(this.shard.counts(message.job));
         return;
       case "drain":
         void this.leave(message.hosts, true, (hosts) => this.toDrain(hosts), message.reply);
         return;
       case "cancelled":
-        this.share.cancelled(message.job);
+        this.shard.cancelled(message.job);
         return;
       case "cordon":
-        this.share.cordon(message.to, message.demand, this.clock());
+        this.shard.cordon(message.to, message.demand, this.clock());
         return;
       case "give":
         void this.leave(message.hosts, false, (hosts) => this.toGive(hosts, message.to), message.reply);
@@ -134,8 +140,8 @@
     const token = this.hooks.token();
     if (token !== null && token !== this.token) {
       this.token = token;
-      this.share.raised(token);
-      this.share.attemptsRenewed();
+      this.shard.tokenAdvanced(token);
+      this.shard.attemptsRenewed();
     }
     return token;
   }
@@ -144,21 +150,21 @@
     const token = this.currentToken();
     if (token === null) return { kind: "refused" };
     if (report.token > token) {
-      // Either we are deposed, and raising fails, or the machine comes from a share with a higher token.
-      this.hooks.raiseToken();
+      // Either we are deposed, and raising fails, or the machine comes from a shard with a higher token.
+      this.hooks.advanceToken();
       return { kind: "refused" };
     }
     const now = this.clock();
-    const commands = this.share.report(report, now);
+    const commands = this.shard.report(report, now);
     if (commands === null) return { kind: "refused" };
     this.noteUp();
     const placed =
-      this.share.wantsRound && now >= this.nextRoundAt
+      this.shard.wantsRound && now >= this.nextRoundAt
         ? this.place(token)
-        : this.share.placeOn(report.host, token, now) > 0;
+        : this.shard.placeOn(report.host, token, now) > 0;
     if (placed) {
       const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
-      for (const start of this.share.startsFor(report.host))
+      for (const start of this.shard.startsFor(report.host))
         if (!known.has(start.attempt)) commands.push(start);
     }
     this.flush();
@@ -169,20 +175,20 @@
     const now = this.clock();
     const token = this.currentToken();
     this.quietTicks++;
-    this.share.expire(now);
+    this.shard.expire(now);
     if (token === null) return;
-    if (this.share.attemptsExhausted) this.hooks.raiseToken();
+    if (this.shard.attemptsExhausted) this.hooks.advanceToken();
     this.noteUp();
-    this.share.drainNoticed();
+    this.shard.drainNoticed();
     this.place(token);
     this.preempt(now);
     this.flush();
     if (now - this.lastSummary >= this.figures.spacingMs) {
       this.lastSummary = now;
-      const summary = this.share.summary(token, now);
+      const summary = this.shard.summary(token, now);
       if (this.log.isLevelEnabled("debug"))
         this.log.debug(
-          { share: this.share.n, ...summary.load, ...this.share.usage(), demand: summary.demand },
+          { shard: this.shard.n, ...summary.load, ...this.shard.usage(), demand: summary.demand },
           "load",
         );
       this.hooks.summary(summary);
@@ -193,47 +199,49 @@
   private preempt(now: number): void {
     if (now - this.lastPreempt < this.figures.preemptMs) return;
     this.lastPreempt = now;
-    this.share.preempt(now, this.clock, this.clock() + this.figures.roundMs);
+    this.shard.preempt(now, this.clock, this.clock() + this.figures.roundMs);
   }
 
   private place(token: number): boolean {
     const now = this.clock();
-    const placed = this.share.place(token, now, this.clock, now + this.figures.roundMs) > 0;
+    const placed = this.shard.place(token, now, this.clock, now + this.figures.roundMs) > 0;
     const end = this.clock();
-    // Guards against a large share whose every report leads to a whole round: it would have time for little else.
+    // Guards against a large shard whose every report leads to a whole round: it would have time for little else.
     this.nextRoundAt = end + (end - now) / ROUNDS_PART;
     return placed;
   }
 
-  /** Notes durably which machines have come up, before anything is placed on them: see the census. */
+  /** Notes durably which machines have come up, before anything is placed on them: see ShardRecords. */
   private noteUp(): void {
     const token = this.currentToken();
     const now = this.clock();
     if (this.noting || token === null || now - this.lastNote < this.figures.spacingMs / 4) return;
     this.lastNote = now;
-    const up = this.share.newlyUp();
+    const up = this.shard.newlyUp();
     if (up.length === 0) return;
     const { guards, writes } = this.fleet.change(up, "up", this.state.txnOps);
     if (writes.length === 0) return;
     this.noting = true;
     this.state
-      .commit([{ key: keys.share(this.share.n), version: token }, ...guards], writes, "note")
-      .catch((err: Error) => this.log.debug({ err: err.message }, "machines not noted yet"))
+      .commit([{ key: keys.shard(this.shard.n), version: token }, ...guards], writes, "note")
+      .catch((err: unknown) => {
+        this.log.debug({ err: (err as Error).message }, "machines not noted yet");
+      })
       .finally(() => this.tell({ kind: "noted" }));
   }
 
   /**
-   * Writes completed work: one transaction at a time, each guarded by the share's record. Jobs that are over come
+   * Writes completed work: one transaction at a time, each guarded by the shard's record. Jobs that are over come
    * first, since users wait for them; progress is written now and then, and workers keep results until it is.
    */
   private flush(): void {
     const token = this.currentToken();
     const now = this.clock();
     if (this.writing || token === null || now - this.lastWrite < this.figures.spacingMs / 4) return;
-    const over = this.share.finished(this.state.txnOps);
+    const over = this.shard.finished(this.state.txnOps);
     const kind = over.length > 0 ? "result" : "note";
     if (over.length === 0 && now - this.lastProgress < this.figures.spacingMs) return;
-    const completions = over.length > 0 ? over : this.share.progressed(this.state.txnOps);
+    const completions = over.length > 0 ? over : this.shard.progressed(this.state.txnOps);
     if (completions.length === 0) return;
     this.writing = true;
     this.lastWrite = now;
@@ -242,7 +250,7 @@
   }
 
   private async commit(token: number, completions: Completion[], kind: WriteKind): Promise<void> {
-    const own = keys.share(this.share.n);
+    const own = keys.shard(this.shard.n);
     try {
       const result = await this.state.commit(
         [{ key: own, version: token }, ...completions.flatMap((c) => c.guards)],
@@ -281,24 +289,31 @@
     reply: (hosts: string[]) => void,
   ): Promise<void> {
     const token = this.currentToken();
-    if (token === null) return reply([]);
-    const marked = this.share.beginLeaving(hosts, anyState);
+    if (token === null) {
+      reply([]);
+      return;
+    }
+    const marked = this.shard.beginLeaving(hosts, anyState);
     const { guards, writes, hosts: leaving } = change(marked);
-    this.share.stayAfterAll(marked.filter((host) => !leaving.includes(host)));
-    if (leaving.length === 0) return reply([]);
-    const own = { key: keys.share(this.share.n), version: token };
+    this.shard.stayAfterAll(marked.filter((host) => !leaving.includes(host)));
+    if (leaving.length === 0) {
+      reply([]);
+      return;
+    }
+    const own = { key: keys.shard(this.shard.n), version: token };
     try {
       const result = await this.state.commit([own, ...guards], writes, "note");
       if (result.ok) {
-        this.log.info({ share: this.share.n, hosts: leaving }, "machines leave");
-        return reply(leaving);
+        this.log.info({ shard: this.shard.n, hosts: leaving }, "machines leave");
+        reply(leaving);
+        return;
       }
-      this.share.stayAfterAll(leaving);
+      this.shard.stayAfterAll(leaving);
     } catch (err) {
       this.log.debug({ err: (err as Error).message, hosts: leaving }, "leaving not confirmed");
       if (!(err instanceof StateFailure) || err.maybe)
         for (const { key } of guards) void this.settleLeaving(key, leaving);
-      else this.share.stayAfterAll(leaving);
+      else this.shard.stayAfterAll(leaving);
     }
     reply([]);
   }
@@ -315,21 +330,24 @@
         const now = await this.state.read(key);
         const group = readGroup(now?.value);
         // Gone or passed on: the records say so, and that is followed.
-        if (now === null || group === null || group.share !== this.share.n) return;
-        // The term is over: whoever owns the share now knows nothing of what was meant here.
+        if (now === null || group?.shard !== this.shard.n) return;
+        // The term is over: whoever owns the shard now knows nothing of what was meant here.
         if (token === null) {
           if (this.retired) return;
           continue;
         }
         const guards = [
-          { key: keys.share(this.share.n), version: token },
+          { key: keys.shard(this.shard.n), version: token },
           { key, version: now.version },
         ];
         const result = await this.state.commit(guards, [{ put: key, value: group }], "note");
-        // What was named after all is marked in the record, and stays unused by that.
-        if (result.ok) return this.share.stayAfterAll(leaving.filter((host) => host in group.machines));
+        // What was selected for removal after all is marked in the record, and stays unused by that.
+        if (result.ok) {
+          this.shard.stayAfterAll(leaving.filter((host) => host in group.machines));
+          return;
+        }
       } catch (err) {
-        this.log.debug({ err: (err as Error).message, key }, "leaving not settled yet");
+        this.log.debug({ err: (err as Error).message, key }, "leaving not recovered yet");
       }
     }
   }
--- /dev/null
+++ b/src/placement/shard-records.ts
@@ -0,0 +1,173 @@
+/** The jobs and machines of one shard, followed from the records. */
+import { LRUCache } from "lru-cache";
+import { readDone, readJob, readProgress } from "../jobs/records.js";
+import type { Logger } from "../runtime/log.js";
+import { keys, prefixes } from "../state/keys.js";
+import type { ReplicaView } from "../state/replica.js";
+import type { Change } from "../wire/index.js";
+import { Job, Machine } from "../workers/model.js";
+import { machineOf, readGroup, type MachineRecord } from "../workers/records.js";
+import { releaseAll } from "../workers/reports.js";
+import { CompletionLog } from "./completion-log.js";
+
+/** How many machines that have left are remembered, so that late copies of their reports are known for what they are. */
+const REMEMBERED_MACHINES = 1000;
+
+/** How many cancellations that were told are remembered: many more than are made while the feed is behind. */
+const REMEMBERED_CANCELLATIONS = 10_000;
+
+/** Follows the records of one shard; what is decided about it is left to the shard itself. */
+export abstract class ShardRecords {
+  readonly jobs = new Map<string, Job>();
+  readonly machines = new Map<string, Machine>();
+  /** Jobs that have come since the last whole round. */
+  protected fresh: Job[] = [];
+  /** Which machines of which group's record are here. */
+  private readonly groups = new Map<string, Set<string>>();
+  protected readonly completions: CompletionLog;
+  /** How new the last report was of machines that have left. */
+  private readonly departed = new LRUCache<string, { session: number; seq: number }>({
+    max: REMEMBERED_MACHINES,
+  });
+  /** Jobs of which another told that they are cancelled. */
+  private readonly cancellations = new LRUCache<string, true>({ max: REMEMBERED_CANCELLATIONS });
+
+  protected constructor(
+    readonly n: number,
+    valueBytes: number,
+    protected readonly log: Logger,
+  ) {
+    this.completions = new CompletionLog(n, valueBytes, log, (id) => {
+      this.dropJob(id);
+    });
+  }
+
+  /** A machine's record is gone, or with another shard. */
+  protected abstract machineLeft(machine: Machine): void;
+
+  /** Follows the records: what is new, what is gone. */
+  sync(view: ReplicaView, changes: Change[] | null, now: number): void {
+    if (changes === null) {
+      for (const id of this.jobs.keys()) if (!view.get(keys.job(id))) this.dropJob(id);
+      changes = [
+        ...view.under(prefixes.jobs),
+        ...view.under(prefixes.done),
+        ...view.under(prefixes.machines),
+      ];
+      for (const change of changes) if (change.key.startsWith(prefixes.machines)) this.syncGroup(change, now);
+      for (const key of [...this.groups.keys()])
+        if (view.get(key) === undefined) this.syncGroup({ key, value: undefined, version: 0 }, now);
+    }
+    for (const change of changes) {
+      if (change.key.startsWith(prefixes.jobs)) this.syncJob(change);
+      else if (change.key.startsWith(prefixes.machines)) this.syncGroup(change, now);
+      else if (change.key.startsWith(prefixes.done)) this.syncDone(change, view);
+    }
+  }
+
+  /** A cancellation is durable, whether or not the feed has shown it yet. */
+  cancelled(id: string): void {
+    this.cancellations.set(id, true);
+    this.dropJob(id);
+    this.sweepJobs();
+  }
+
+  private syncJob(change: Change): void {
+    const id = change.key.slice(prefixes.jobs.length);
+    if (change.value === undefined) {
+      this.dropJob(id);
+      return;
+    }
+    // Guards against starting a cancelled job again from records read before the cancellation.
+    if (this.jobs.has(id) || this.cancellations.has(id)) return;
+    const record = readJob(change.value);
+    if (record === null) {
+      this.log.error({ key: change.key }, "unreadable job record");
+      return;
+    }
+    if (record.shard !== this.n) return;
+    const job = Job.fromRecord(record, change.version);
+    this.jobs.set(id, job);
+    this.fresh.push(job);
+  }
+
+  private syncDone(change: Change, view: ReplicaView): void {
+    const [of = "", part = ""] = change.key.slice(prefixes.done.length).split("/");
+    if (of === String(this.n)) {
+      this.syncProgress(Number(part), readProgress(change.value));
+      return;
+    }
+    const job = this.jobs.get(of);
+    const bits = readDone(change.value);
+    if (bits === null) return;
+    if (job) job.mergeDone(Number(part), bits);
+    else if (this.n === 0 && !view.get(keys.job(of))) this.completions.removeLater(change.key);
+  }
+
+  /** What this owner wrote itself comes back as well, and changes nothing. */
+  private syncProgress(page: number, jobs: Record<string, string> | null): void {
+    if (jobs === null) return;
+    for (const [id, bits] of Object.entries(jobs)) {
+      const job = this.jobs.get(id);
+      if (job === undefined) continue;
+      if (job.durable.count === 0) this.completions.load(page, id, bits);
+      job.mergeDone(0, bits);
+    }
+  }
+
+  private syncGroup(change: Change, now: number): void {
+    const { key } = change;
+    const group = change.value === undefined ? null : readGroup(change.value);
+    // A record that cannot be read proves nothing: what is on its machines still counts.
+    if (group === null && change.value !== undefined) {
+      this.log.error({ key }, "unreadable machine record");
+      return;
+    }
+    const here = group?.shard === this.n ? Object.keys(group.machines) : [];
+    const former = this.groups.get(key);
+    const present = new Set(here);
+    if (present.size > 0) this.groups.set(key, present);
+    else this.groups.delete(key);
+    for (const host of here) {
+      const record = machineOf(key, group!, host);
+      const machine = this.machines.get(host);
+      if (machine) machine.record = record;
+      else this.machines.set(host, this.newMachine(host, record, now));
+    }
+    for (const host of former ?? [])
+      if (!present.has(host) && this.machines.get(host)?.record.group === key) this.dropMachine(host);
+  }
+
+  private newMachine(host: string, record: MachineRecord, now: number): Machine {
+    const machine = new Machine(host, record, now);
+    // Guards against late copies from an earlier stay in this shard: they are no newer than what was seen then.
+    const known = this.departed.get(host);
+    if (known !== undefined) [machine.session, machine.seq] = [known.session, known.seq];
+    return machine;
+  }
+
+  /** The record is gone: over or cancelled. Tasks still on machines are stopped and count until proven gone. */
+  private dropJob(id: string): void {
+    const job = this.jobs.get(id);
+    if (job === undefined) return;
+    job.closing = true;
+    this.completions.forget(job);
+    if (job.active.size === 0) this.jobs.delete(id);
+  }
+
+  /** A machine's record goes only after the cloud's 200 to its return, or when it is passed on empty. */
+  private dropMachine(host: string): void {
+    const machine = this.machines.get(host);
+    if (machine === undefined) return;
+    releaseAll(machine);
+    this.machines.delete(host);
+    this.machineLeft(machine);
+    const { session, seq } = machine;
+    this.departed.set(host, { session, seq });
+    this.sweepJobs();
+  }
+
+  protected sweepJobs(): void {
+    for (const [id, job] of this.jobs) if (job.closing && job.active.size === 0) this.jobs.delete(id);
+  }
+}
--- /dev/null
+++ b/src/placement/shard.ts
@@ -0,0 +1,395 @@
+/**
+ * One shard as its owner sees it: the jobs and machines of the records, the workers' reports, and the decisions
+ * that follow. Time and records come in, commands, writes and summaries go out; nothing here waits or calls.
+ */
+import type { Settings } from "../config/settings.js";
+import type { Demand, Summary } from "../peers/messages.js";
+import type { SteadyClock } from "../runtime/clock.js";
+import type { Logger } from "../runtime/log.js";
+import type { ReplicaView } from "../state/replica.js";
+import { CLOCK_DRIFT, type Command, type MachineType, type WorkerReport } from "../wire/index.js";
+import { attach, type Job, type Machine, type Placement } from "../workers/model.js";
+import { applyReport, isNewer, noteAnswer, releaseAll } from "../workers/reports.js";
+import { slotsOn } from "./capacity.js";
+import type { Completion } from "./completion-log.js";
+import { Cordons } from "./cordons.js";
+import { FailureTracker } from "./failure-tracker.js";
+import { placeOn, placeRound, queueOf, type Round, type RoundInput } from "./place.js";
+import { choosePreemptions } from "./preempt.js";
+import { ShardRecords } from "./shard-records.js";
+import { demandOf, loadOf, summarise, usageOf } from "./summary.js";
+import type { QueueEntry } from "./urgency.js";
+
+/** Attempts are a token and a count within its term, so that they never repeat. */
+const ATTEMPTS_PER_TOKEN = 2 ** 20;
+/** So many report intervals a machine is reserved for the job for which tasks were stopped there. */
+const RESERVED_REPORTS = 3;
+
+/** With more than this part of its processors free a shard has room to spare. */
+const ROOMY = 1 / 8;
+
+/** The weight of one more task in what is known of a class's estimates. */
+const LEARNING = 0.1;
+
+/** One shard's jobs, machines and placements, and all decisions about them. */
+export class Shard extends ShardRecords {
+  /** What tasks really take for each second of their estimate, by class. */
+  private readonly ratios = new Map<string, number>();
+  private attempts = 0;
+  private resumeAt: string | null = null;
+  private roomy = false;
+  /** The waiting jobs as last ordered, and the machines held back for overdue ones. */
+  private queue: QueueEntry[] = [];
+  /** How many usable machines have an image, as of the last whole round. */
+  private imageCounts = new Map<string, number>();
+  private overdueReservations = new Map<Machine, Job>();
+  /** Machines on which tasks were stopped for a job, and until when they are reserved for it. */
+  private readonly preemptionReservations = new Map<Machine, { job: Job; until: number }>();
+  private readonly cordons: Cordons;
+  /** All tokens of this owner's term. */
+  private readonly tokens: Set<number>;
+  private readonly failures: FailureTracker;
+  private readonly leaseMs: number;
+
+  constructor(
+    n: number,
+    /** The token with which this owner's term began. */
+    readonly termToken: number,
+    private readonly startedAt: number,
+    private readonly settings: Settings,
+    private readonly types: () => Map<string, MachineType>,
+    view: ReplicaView,
+    log: Logger,
+  ) {
+    super(n, settings.state.valueBytes, log);
+    const { leaseMs, reportMs } = settings.workers;
+    this.leaseMs = leaseMs * (1 + 2 * CLOCK_DRIFT) + reportMs / 4;
+    this.tokens = new Set([termToken]);
+    this.cordons = new Cordons(n, reportMs, log);
+    this.failures = new FailureTracker(this.machines, this.leaseMs, log);
+    this.sync(view, null, startedAt);
+    // A machine that never spoke to an owner has never been told to start anything.
+    for (const machine of this.machines.values()) machine.awaitsRecovery = machine.record.up;
+  }
+
+  protected override machineLeft(machine: Machine): void {
+    this.overdueReservations.delete(machine);
+    this.preemptionReservations.delete(machine);
+    this.cordons.forget(machine);
+  }
+
+  /** The shard's token has been advanced by this owner itself: workers that show the new one follow it as well. */
+  tokenAdvanced(token: number): void {
+    this.tokens.add(token);
+  }
+
+  /** Whether everything that an earlier owner may have left running has been seen, or is surely over. */
+  get recovered(): boolean {
+    for (const machine of this.machines.values()) if (machine.awaitsRecovery) return false;
+    return true;
+  }
+
+  /** Null: an old report, about which nothing is to be said. */
+  report(report: WorkerReport, now: number): Command[] | null {
+    const machine = this.machines.get(report.host);
+    if (machine === undefined || !isNewer(machine, report)) return null;
+    const wasUp = machine.up;
+    const commands = applyReport(machine, report, {
+      jobs: this.jobs,
+      now,
+      startedAt: this.startedAt,
+      leaseMs: this.leaseMs,
+      ofTerm: (token) => this.tokens.has(token),
+      ended: (job, index, where, cause) => {
+        this.ended(job, index, where, cause, now);
+      },
+      finished: (placement) => {
+        this.learn(placement, now);
+      },
+    });
+    if (machine.up && !wasUp) this.log.info({ host: machine.host, shard: this.n }, "machine heard");
+    if (machine.heard) machine.awaitsRecovery = false;
+    noteAnswer(machine, now);
+    this.sweepJobs();
+    return commands;
+  }
+
+  private ended(job: Job, index: number, machine: Machine, cause: string, now: number): void {
+    const { reportMs } = this.settings.workers;
+    switch (cause) {
+      case "done":
+        this.failures.succeeded(job, machine);
+        // Guards against writing the end of a job that was cancelled while its last task ended: its record is gone, and
+        // the transaction would fail again and again, with those of all the jobs that are written together with it.
+        if (job.closing) return;
+        this.completions.add(job, index);
+        return;
+      case "error":
+        this.failures.failed(job, machine, now);
+        return;
+      case "no_room":
+        // The worker counts something that we do not see yet; its next reports will show it.
+        machine.notBefore = now + 2 * reportMs;
+        return;
+      case "unknown":
+        // The owner of the job has yet to upload it.
+        job.notBefore = now + 2 * reportMs;
+        return;
+    }
+  }
+
+  /** Ends what can be proven over by the passing of time. */
+  expire(now: number): void {
+    for (const machine of this.machines.values()) {
+      // Before the first report in this term, an earlier owner may have answered until the term began.
+      const since = machine.lastReportAt ?? (machine.awaitsRecovery ? this.startedAt : machine.spokeAt);
+      if (since === null || machine.silentSince !== null || now - since <= this.leaseMs) continue;
+      machine.silentSince = now;
+      const lost = machine.placements.size;
+      releaseAll(machine);
+      machine.emptySince = null;
+      machine.emptyReports = 0;
+      machine.awaitsRecovery = false;
+      this.log.info({ host: machine.host, shard: this.n, lost }, "machine silent, its lease is over");
+    }
+    this.cordons.expire(now);
+    this.failures.forgive(this.jobs.values(), now);
+    this.sweepJobs();
+  }
+
+  /** A whole round of placing; starts go out with the machines' next answers. */
+  place(token: number, now: number, clock: SteadyClock, deadline: number): number {
+    this.fresh = [];
+    // Most rounds find nothing to place: they must not cost a look at every machine of a large shard.
+    const input = this.waits() ? this.roundInput(now) : null;
+    this.queue = input === null ? [] : queueOf(input);
+    if (input === null || this.queue.length === 0) {
+      this.overdueReservations = new Map();
+      this.resumeAt = null;
+      return 0;
+    }
+    this.countImages();
+    const round = placeRound(input, this.queue, clock, deadline);
+    this.resumeAt = round.resumeAt;
+    const started = this.take(round, token, now);
+    const load = loadOf(input);
+    this.roomy = load.cpus - load.used > ROOMY * load.cpus;
+    return started;
+  }
+
+  private waits(): boolean {
+    for (const job of this.jobs.values()) if (job.waiting > 0) return true;
+    return false;
+  }
+
+  /** Offers the room of a machine that has just spoken to what waits. */
+  placeOn(host: string, token: number, now: number): number {
+    const machine = this.machines.get(host);
+    if (machine === undefined || !machine.usable || this.queue.length === 0) return 0;
+    // Jobs accepted since the last whole round are served from the next one on, in their order.
+    const atHome = (job: Job): boolean => this.atHome(job, machine);
+    return this.take(placeOn(machine, this.queue, this.roundInput(now), atHome), token, now);
+  }
+
+  /** Whether the machines that have a job's image could hold all that waits of it at once. */
+  private atHome({ spec, waiting }: Job, machine: Machine): boolean {
+    const type = this.types().get(machine.record.type);
+    const slots = type === undefined ? 0 : slotsOn(spec, type);
+    return slots > 0 && (this.imageCounts.get(spec.image) ?? 0) * slots >= waiting;
+  }
+
+  private countImages(): void {
+    this.imageCounts = new Map();
+    for (const machine of this.machines.values())
+      if (machine.usable)
+        for (const image of machine.images)
+          this.imageCounts.set(image, (this.imageCounts.get(image) ?? 0) + 1);
+  }
+
+  /**
+   * Whether a report should lead to a whole round: jobs have come since the last one, or there is room to spare. With
+   * room to spare the room of whichever machine speaks is not the best: work is drawn together on full machines, so
+   * that the others run empty and can be returned.
+   */
+  get wantsRound(): boolean {
+    return this.fresh.length > 0 || this.roomy;
+  }
+
+  private take(round: Round, token: number, now: number): number {
+    this.overdueReservations = round.reservations;
+    for (const { job, index, machine } of round.starts) {
+      const attempt = token * ATTEMPTS_PER_TOKEN + ++this.attempts;
+      const placement: Placement = {
+        job,
+        index,
+        attempt,
+        machine,
+        state: "assigned",
+        since: now,
+        stop: null,
+        resumed: job.stopped.has(index),
+        unseen: 0,
+      };
+      if (!job.begun) {
+        const waitedS = Math.round((Date.now() - job.acceptedAt) / 1000);
+        this.log.info({ job: job.spec.id, tasks: job.spec.tasks, waitedS }, "job begins");
+      }
+      attach(placement);
+      machine.emptySince = null;
+      machine.emptyReports = 0;
+    }
+    if (round.starts.length > 0) this.log.debug({ shard: this.n, starts: round.starts.length }, "placed");
+    return round.starts.length;
+  }
+
+  /** The commands for what has been placed on a machine since its report was taken in. */
+  startsFor(host: string): Command[] {
+    const machine = this.machines.get(host);
+    if (!machine?.heard) return [];
+    return [...machine.placements]
+      .filter((p) => p.state === "assigned" && !p.stop && !p.job.closing)
+      .map((p) => ({ op: "start", job: p.job.spec.id, index: p.index, attempt: p.attempt }));
+  }
+
+  /** Stops less urgent work where that makes room for more urgent work in time. */
+  preempt(now: number, clock: SteadyClock, deadline: number): void {
+    const input = { ...this.roundInput(now), reportMs: this.settings.workers.reportMs };
+    const { victims, reserved } = choosePreemptions(input, clock, deadline);
+    let save = 0;
+    for (const victim of victims) {
+      const graceS = victim.job.spec.checkpointS > 0 ? victim.job.spec.saveS : 0;
+      victim.stop = { why: "preempt", graceS };
+      save = Math.max(save, graceS * 1000);
+    }
+    // Guards against stopping tasks in vain: what waits for less would take the room before enough of it is there.
+    const until = now + save + RESERVED_REPORTS * this.settings.workers.reportMs;
+    for (const [machine, job] of reserved) this.preemptionReservations.set(machine, { job, until });
+    if (victims.length > 0) this.log.debug({ shard: this.n, stopped: victims.length }, "preempting");
+  }
+
+  /** Stops what can be saved before the cloud takes its machine away. */
+  drainNoticed(): void {
+    const { reportMs } = this.settings.workers;
+    for (const machine of this.machines.values()) {
+      if (machine.noticeS === null) continue;
+      for (const placement of machine.placements) {
+        const { saveS, checkpointS } = placement.job.spec;
+        // The notice may be half of what it says; three reports are needed to stop and to see it stopped.
+        if (checkpointS > 0 && machine.noticeS / 2 < saveS + (3 * reportMs) / 1000)
+          placement.stop ??= { why: "drain", graceS: saveS };
+      }
+    }
+  }
+
+  private roundInput(now: number): RoundInput {
+    return {
+      jobs: [...this.jobs.values()],
+      machines: [...this.machines.values()],
+      types: this.types(),
+      teams: this.settings.teams,
+      objectives: this.settings.objectives,
+      wallNow: Date.now(),
+      ratio: (className: string) => this.ratios.get(className) ?? 1,
+      now,
+      recovered: this.recovered,
+      termToken: this.termToken,
+      resumeAt: this.resumeAt,
+      overdueReservations: this.overdueReservations,
+      preemptionReservations: this.openPreemptionReservations(now),
+    };
+  }
+
+  private openPreemptionReservations(now: number): Map<Machine, Job> {
+    const open = new Map<Machine, Job>();
+    for (const [machine, { job, until }] of this.preemptionReservations) {
+      if (now > until || job.waiting === 0) this.preemptionReservations.delete(machine);
+      else open.set(machine, job);
+    }
+    return open;
+  }
+
+  /** Whether the attempts of this token are nearly used up. */
+  get attemptsExhausted(): boolean {
+    return this.attempts >= ATTEMPTS_PER_TOKEN / 2;
+  }
+
+  attemptsRenewed(): void {
+    this.attempts = 0;
+  }
+
+  /** Jobs whose last task has completed, to be written within so many operations. */
+  finished(room: number): Completion[] {
+    return this.completions.finished(room);
+  }
+
+  /** Completed tasks of jobs that go on, to be written within so many operations. */
+  progressed(room: number): Completion[] {
+    return this.completions.progressed(room);
+  }
+
+  /** Machines that have spoken and whose records do not say so yet. */
+  newlyUp(): string[] {
+    return [...this.machines.values()]
+      .filter((m) => m.lastReportAt !== null && !m.record.up && !m.record.drain && !m.leaving)
+      .map((m) => m.host);
+  }
+
+  /** The machines of `hosts` that are empty, so that they may leave; nothing is placed on them from now on. */
+  beginLeaving(hosts: string[], anyState: boolean): string[] {
+    return hosts.filter((host) => {
+      const machine = this.machines.get(host);
+      if (machine === undefined || machine.leaving) return false;
+      const idle = machine.sound && machine.empty && machine.emptyReports >= 2;
+      // A machine that never spoke, fell silent or is sick need not be empty: the return itself is the proof.
+      const lost = !machine.heard || machine.silentSince !== null || machine.responsesLost || machine.sick;
+      if (!idle && !(anyState && lost)) return false;
+      machine.leaving = true;
+      return true;
+    });
+  }
+
+  /** Lets one machine that suits run empty for a shard that has none. */
+  cordon(to: number, demand: Demand, now: number): void {
+    this.cordons.cordon(to, demand, this.roundInput(now));
+  }
+
+  stayAfterAll(hosts: string[]): void {
+    for (const host of hosts) {
+      const machine = this.machines.get(host);
+      if (machine) machine.leaving = false;
+    }
+  }
+
+  /** What the processors in use are doing, for operators who ask where money goes. */
+  usage(): Record<Placement["state"], number> {
+    return usageOf(this.machines.values());
+  }
+
+  counts(id: string): { known: boolean; done: number; running: number } {
+    const job = this.jobs.get(id);
+    if (job === undefined) return { known: false, done: 0, running: 0 };
+    return { known: true, done: job.done.count, running: job.runningCount };
+  }
+
+  summary(token: number, now: number): Summary {
+    const input = this.roundInput(now);
+    return {
+      shard: this.n,
+      token,
+      recovered: this.recovered,
+      load: loadOf(input),
+      demand: demandOf(input),
+      machines: [...this.machines.values()].map((m) => summarise(m, now)),
+    };
+  }
+
+  /** Learns how estimates of a class compare with what its tasks really take. */
+  private learn(placement: Placement, now: number): void {
+    const { className, estimateS, checkpointS } = placement.job.spec;
+    // A task that saves may have gone on from where it was stopped, and then says little.
+    if (placement.state !== "running" || estimateS <= 0 || (checkpointS > 0 && placement.resumed)) return;
+    const seen = (now - placement.since) / 1000 / estimateS;
+    const known = this.ratios.get(className);
+    this.ratios.set(className, known === undefined ? seen : known + (seen - known) * LEARNING);
+  }
+}
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -3,6 +3,7 @@
 import { BEGIN_WITHIN_S, BESIDE_ROOM_S, PRIORITIES, type MachineType } from "../wire/index.js";
 import type { Job } from "../workers/model.js";
 
+/** What the order of jobs is decided on. */
 export interface Plan {
   teams: Team[];
   types: Map<string, MachineType>;
@@ -20,10 +21,12 @@
 /** A job that is late for all its aims waits behind those that are not, until so many times the last aim. */
 const LATE = 2;
 
+/** How long a task of the job is expected to run, by its estimate and what its class's estimates were worth. */
 export function expectedRunMs(job: Job, plan: Pick<Plan, "ratio">): number {
   return job.spec.estimateS * plan.ratio(job.spec.className) * 1000;
 }
 
+/** How long a machine of a type takes to fetch the job's image. */
 export function fetchMs(job: Job, type: MachineType): number {
   return type.fetchGbPerS > 0 ? (job.spec.imageGb / type.fetchGbPerS) * 1000 : 0;
 }
@@ -65,6 +68,7 @@
   return open.reduce((a, b) => (b.start < a.start ? b : a));
 }
 
+/** The latest start, in time of day, by which the nearest aim that can still be met is met. */
 export function latestStart(job: Job, plan: Plan): number {
   return windowOf(job, plan).start;
 }
@@ -129,22 +133,22 @@
   return overdueMs(job, plan) > 0;
 }
 
-/** What is kept free for an overdue job is lent to others in turns of this part of the time nobody waits beside room. */
-const TURN = 2 / 3;
+/** A reservation for an overdue job is suspended, and renewed, after this part of the time nobody waits beside room. */
+const RESERVATION_PERIOD = 2 / 3;
 
 /**
- * Whether room is kept free for a job until enough of it comes together. Only for one of which nothing runs: it goes
+ * Whether a machine is reserved for a job until enough of it comes together. Only for one of which nothing runs: it goes
  * first for whatever its own tasks leave. And only for a while at a time, which guards against those behind it
  * waiting beside room for too long.
  */
-export function keepsRoom(job: Job, plan: Pick<Plan, "wallNow">): boolean {
+export function reservesMachine(job: Job, plan: Pick<Plan, "wallNow">): boolean {
   const overdue = overdueMs(job, plan);
   if (overdue <= 0 || job.active.size > 0) return false;
-  return Math.floor(overdue / (TURN * BESIDE_ROOM_S * 1000)) % 2 === 0;
+  return Math.floor(overdue / (RESERVATION_PERIOD * BESIDE_ROOM_S * 1000)) % 2 === 0;
 }
 
 /** A waiting job and what its place in the queue comes from. */
-export interface Turn {
+export interface QueueEntry {
   job: Job;
   /** When it was accepted if it is overdue; Infinity if not. */
   overdueSince: number;
@@ -159,19 +163,19 @@
  * What is overdue first, the oldest before the others; then urgent and critical work, then what can be in time, by
  * how long it can wait; what cannot comes last.
  */
-export function turnsOf(jobs: Job[], plan: Plan): Turn[] {
-  // Normal and lower work shares one rank, below urgent.
-  const shared = PRIORITIES.indexOf("normal");
+export function queueEntriesOf(jobs: Job[], plan: Plan): QueueEntry[] {
+  // Normal and lower work has one rank, below urgent.
+  const lowest = PRIORITIES.indexOf("normal");
   const windows = new Map(jobs.map((job) => [job, windowOf(job, plan)]));
   const behind = leftBehind(jobs, windows, plan);
-  const turns = jobs.map((job) => ({
+  const entries = jobs.map((job) => ({
     job,
     overdueSince: isOverdue(job, plan) ? job.acceptedAt : Infinity,
-    rank: Math.max(shared, PRIORITIES.indexOf(job.spec.priority)),
+    rank: Math.max(lowest, PRIORITIES.indexOf(job.spec.priority)),
     behind: behind.has(job) ? 1 : 0,
     start: windows.get(job)!.start,
   }));
-  turns.sort(
+  entries.sort(
     (a, b) =>
       (a.overdueSince === b.overdueSince ? 0 : a.overdueSince - b.overdueSince) ||
       b.rank - a.rank ||
@@ -179,9 +183,10 @@
       a.start - b.start ||
       (a.job.spec.id < b.job.spec.id ? -1 : 1),
   );
-  return turns;
+  return entries;
 }
 
+/** Jobs in the order in which they are to be served. */
 export function orderByUrgency(jobs: Job[], plan: Plan): Job[] {
-  return turnsOf(jobs, plan).map((turn) => turn.job);
+  return queueEntriesOf(jobs, plan).map((entry) => entry.job);
 }
--- /dev/null
+++ b/src/report-router.ts
@@ -0,0 +1,69 @@
+/** Brings workers' reports to the owner of their machine's shard. */
+import type { Autoscaler } from "./autoscaling/autoscaler.js";
+import type { Routed } from "./http/app.js";
+import type { Membership } from "./membership/membership.js";
+import type { PeerReply, PeerRequest } from "./peers/messages.js";
+import type { ReportAnswer, ShardOwner } from "./placement/shard-owner.js";
+import type { SteadyClock } from "./runtime/clock.js";
+import type { WorkerReport } from "./wire/index.js";
+import type { Fleet } from "./workers/fleet.js";
+
+/** What the router needs of the rest of the process. */
+export interface ReportRouterParts {
+  /** This node's name. */
+  node: string;
+  fleet: Fleet;
+  membership: Membership;
+  autoscaler: Autoscaler;
+  ownerOf: (shard: number) => ShardOwner | undefined;
+  askNode: (node: string | null, request: PeerRequest) => Promise<PeerReply>;
+  clock: SteadyClock;
+  /** How often an owner is told at most that its workers come here. */
+  misroutedSpacingMs: number;
+}
+
+/** Answers reports of this process's shards, and redirects all others. */
+export class ReportRouter {
+  /** When the owner of a shard was last told that its workers come here. */
+  private readonly misroutedAt = new Map<number, number>();
+
+  constructor(private readonly parts: ReportRouterParts) {}
+
+  /** Answers the report, or tells the worker where to go. */
+  async route(report: WorkerReport): Promise<Routed> {
+    const record = this.parts.fleet.get(report.host);
+    if (record === undefined) {
+      // Only the leader gives machines to shards; the worker comes again until it has.
+      const leader = this.parts.membership.leader();
+      if (leader !== this.parts.node) return { kind: "redirect", owner: leader };
+      this.parts.autoscaler.tell({ kind: "unknown_machine", report });
+      return { kind: "redirect", owner: null };
+    }
+    const owner = this.parts.ownerOf(record.shard);
+    if (owner === undefined) this.reportMisrouted(record.shard, report);
+    if (owner === undefined || owner.writableNeedDrain) return this.redirect(record.shard);
+    const answer = await owner.ask<ReportAnswer>((reply) => ({ kind: "report", report, reply }));
+    return answer.kind === "commands" ? answer : this.redirect(record.shard);
+  }
+
+  /**
+   * Guards against losing all tasks of a shard whose owner is cut off from its workers alone: its lease lives on, and the
+   * others would send its workers back to it until their leases are over. A worker that follows the owner's token has
+   * spoken to it before; if it comes here now, its owner is told, and passes the shard on if it hears no worker at all.
+   */
+  private reportMisrouted(shard: number, report: WorkerReport): void {
+    const owner = this.parts.membership.owner(shard);
+    if (owner === null || report.token !== this.parts.membership.cluster.shards[shard]?.version) return;
+    const now = this.parts.clock();
+    if (now - (this.misroutedAt.get(shard) ?? -Infinity) < this.parts.misroutedSpacingMs) return;
+    this.misroutedAt.set(shard, now);
+    this.parts
+      .askNode(owner, { misroutedHeartbeat: { shard, cameTo: this.parts.node } })
+      .catch(() => undefined);
+  }
+
+  private redirect(shard: number): Routed {
+    const owner = this.parts.membership.owner(shard);
+    return { kind: "redirect", owner: owner === this.parts.node ? null : owner };
+  }
+}
--- a/src/runtime/actor.ts
+++ b/src/runtime/actor.ts
@@ -5,6 +5,7 @@
 import { Writable } from "node:stream";
 import type { Logger } from "pino";
 
+/** The base of all actors: a mailbox, and one message at a time. */
 export abstract class Actor<M> extends Writable {
   constructor(
     protected readonly log: Logger,
--- a/src/runtime/budget.ts
+++ b/src/runtime/budget.ts
@@ -1,6 +1,7 @@
 /** A token bucket for calls that are left out, and not kept waiting, when there is no room for them. */
 import type { SteadyClock } from "./clock.js";
 
+/** A token bucket that never makes anybody wait. */
 export class Budget {
   private level: number;
   private updatedAt: number;
--- a/src/runtime/http-client.ts
+++ b/src/runtime/http-client.ts
@@ -1,6 +1,7 @@
 /** JSON over HTTP/1.1 with kept connections, a deadline on every call, and a bound on what is read. */
 import { Agent, request, type IncomingMessage } from "node:http";
 
+/** The status and the parsed body of an answer. */
 export interface HttpAnswer {
   status: number;
   body: unknown;
@@ -16,6 +17,7 @@
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
+/** JSON calls to one address over kept connections. */
 export class JsonHttp implements JsonCalls {
   private readonly agent: Agent;
   private readonly host: string;
@@ -47,15 +49,21 @@
         outgoing.destroy();
         reject(new NoAnswer(`${method} ${path}: ${reason}`));
       };
-      const timer = setTimeout(() => fail("timed out"), timeoutMs);
-      outgoing.on("error", (err) => fail(err.message));
+      const timer = setTimeout(() => {
+        fail("timed out");
+      }, timeoutMs);
+      outgoing.on("error", (err) => {
+        fail(err.message);
+      });
       outgoing.on("response", (answer) => {
         readAll(answer, MAX_ANSWER_BYTES).then(
           (text) => {
             clearTimeout(timer);
             resolve({ status: answer.statusCode ?? 0, body: parseJson(text) });
           },
-          (err: Error) => fail(err.message),
+          (err: unknown) => {
+            fail((err as Error).message);
+          },
         );
       });
       outgoing.end(payload);
@@ -63,6 +71,7 @@
   }
 }
 
+/** A body is longer than allowed. */
 export class BodyTooLarge extends Error {}
 
 /** By events: an async iterator over each small body costs more than all else that is done with it. */
@@ -76,9 +85,13 @@
       stream.pause();
       reject(new BodyTooLarge(`body over ${limit} bytes`));
     });
-    stream.once("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
+    stream.once("end", () => {
+      resolve(Buffer.concat(chunks).toString("utf8"));
+    });
     stream.once("error", reject);
-    stream.once("close", () => reject(new Error("the connection ended within a body")));
+    stream.once("close", () => {
+      reject(new Error("the connection ended within a body"));
+    });
   });
 }
 
--- a/src/runtime/listening.ts
+++ b/src/runtime/listening.ts
@@ -13,8 +13,8 @@
       log.error({ err: err.message, address }, "server error");
       reject(err);
     });
-    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () =>
-      resolve((server.address() as AddressInfo).port),
-    );
+    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => {
+      resolve((server.address() as AddressInfo).port);
+    });
   });
 }
--- a/src/runtime/log.ts
+++ b/src/runtime/log.ts
@@ -5,6 +5,7 @@
 
 const LEVELS = ["error", "info", "debug"];
 
+/** The process's logger; LOG_LEVEL sets its level. */
 export function createLogger(name: string): Logger {
   const wanted = process.env.LOG_LEVEL ?? "info";
   const level = LEVELS.includes(wanted) ? wanted : "info";
--- a/src/runtime/gate.ts
+++ b/src/runtime/rate-limiter.ts
@@ -1,7 +1,7 @@
 /**
- * A rate that several kinds of work share: a token bucket with a rank for each kind. Higher ranks go first and lower
- * ones leave a part of the bucket to them, so that none is kept waiting by what matters less. Whoever would wait past
- * its patience is told at once.
+ * A rate for several kinds of work: a token bucket with a rank for each kind. Higher ranks go first and lower
+ * ones leave a part of the bucket to them, so that none is kept waiting by what matters less. whoever would wait past
+ * its queue timeout is told at once.
  */
 import type { SteadyClock } from "./clock.js";
 
@@ -10,7 +10,8 @@
   go(): void;
 }
 
-export class Gate<R extends string> {
+/** A token bucket with priorities and queue timeouts. */
+export class RateLimiter<R extends string> {
   private level: number;
   private updatedAt: number;
   private readonly queues: { rank: R; reserve: number; waiting: Waiting[] }[];
@@ -37,17 +38,22 @@
     return this.perSecond;
   }
 
-  /** False, at once, where it would take longer than the patience. */
-  pass(cost: number, rank: R, patienceMs = Infinity): Promise<boolean> {
+  /** False, at once, where it would take longer than the queue timeout. */
+  pass(cost: number, rank: R, queueTimeoutMs = Infinity): Promise<boolean> {
     this.refill();
     const own = this.queues.findIndex((q) => q.rank === rank);
     const queue = this.queues[own]!;
     let ahead = 0;
     for (const { waiting } of this.queues.slice(0, own + 1)) for (const w of waiting) ahead += w.cost;
     const missing = ahead + this.needed(cost, queue.reserve) - this.level;
-    if ((missing / this.perSecond) * 1000 > patienceMs) return Promise.resolve(false);
+    if ((missing / this.perSecond) * 1000 > queueTimeoutMs) return Promise.resolve(false);
     return new Promise((resolve) => {
-      queue.waiting.push({ cost, go: () => resolve(true) });
+      queue.waiting.push({
+        cost,
+        go: () => {
+          resolve(true);
+        },
+      });
       this.drain();
     });
   }
@@ -63,7 +69,10 @@
       for (let next = waiting[0]; next !== undefined; next = waiting[0]) {
         const missing = this.needed(next.cost, reserve) - this.level;
         // Guards against waking for a remainder too small to be measured.
-        if (missing > 1e-6) return this.wakeIn((missing / this.perSecond) * 1000);
+        if (missing > 1e-6) {
+          this.wakeIn((missing / this.perSecond) * 1000);
+          return;
+        }
         waiting.shift();
         this.level -= next.cost;
         next.go();
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -3,7 +3,7 @@
  * checked, and every failure told as one of three things: refused, no answer, nonsense.
  */
 import type { SteadyClock } from "../runtime/clock.js";
-import { Gate } from "../runtime/gate.js";
+import { RateLimiter } from "../runtime/rate-limiter.js";
 import { NoAnswer, type HttpAnswer, type JsonCalls } from "../runtime/http-client.js";
 import { jittered, sleep } from "../runtime/wait.js";
 import { NO_SUCH_KEY } from "./keys.js";
@@ -34,8 +34,10 @@
   }
 }
 
+/** Whether a transaction was carried out; if not, which guards failed. */
 export type Commit = { ok: true; revision: number } | { ok: false; failed: string[] };
 
+/** The state service's limits, for all nodes together. */
 export interface StateLimits {
   rps: number;
   writeRps: number;
@@ -43,7 +45,7 @@
 }
 
 /**
- * What a write is for, from what matters most: holds, ownership and orders; what users wait for; ended jobs; notes
+ * What a write is for, from what matters most: leases, ownership and orders; what users wait for; ended jobs; notes
  * about machines and completed tasks, which may come later without harm.
  */
 export type WriteKind = "ownership" | "user" | "result" | "note";
@@ -79,9 +81,10 @@
   }
 }
 
+/** Calls the state service within this node's part of its limits. */
 export class StateClient {
-  private readonly requests: Gate<"request">;
-  private readonly writes: Gate<WriteKind>;
+  private readonly requests: RateLimiter<"request">;
+  private readonly writes: RateLimiter<WriteKind>;
   private readonly all: Fading;
   private readonly own: Fading;
   readonly txnOps: number;
@@ -97,9 +100,9 @@
   ) {
     // Load is rarely even, so a node may use more than its part; a 429 then slows it down.
     const part = Math.min(1, 1.5 / controllers);
-    this.requests = new Gate(limits.rps * part, limits.rps * part, clock, [["request", 0]]);
+    this.requests = new RateLimiter(limits.rps * part, limits.rps * part, clock, [["request", 0]]);
     const burst = Math.min(limits.writeRps, Math.max(limits.writeRps * part, limits.txnOps));
-    this.writes = new Gate(limits.writeRps * part, burst, clock, RESERVES);
+    this.writes = new RateLimiter(limits.writeRps * part, burst, clock, RESERVES);
     this.all = new Fading(clock);
     this.own = new Fading(clock);
     this.txnOps = limits.txnOps;
@@ -129,8 +132,8 @@
     return parsed(pageSchema.safeParse(answer.body));
   }
 
-  async commit(guards: Guard[], writes: Write[], kind: WriteKind, patienceMs?: number): Promise<Commit> {
-    if (!(await this.writes.pass(writes.length, kind, patienceMs)))
+  async commit(guards: Guard[], writes: Write[], kind: WriteKind, queueTimeoutMs?: number): Promise<Commit> {
+    if (!(await this.writes.pass(writes.length, kind, queueTimeoutMs)))
       throw new StateFailure("no room for the write in time", false);
     this.own.add(writes.length);
     const answer = await this.call(
@@ -162,7 +165,7 @@
       {},
       [200, 404],
       this.http,
-      // A slow service is not a dead one: an answer that comes late still proves the hold from when it was asked for.
+      // A slow service is not a dead one: an answer that comes late still proves the lease from when it was asked for.
       3 * this.timeoutMs,
     );
     return answer.status === 200;
--- a/src/state/feed.ts
+++ b/src/state/feed.ts
@@ -6,10 +6,12 @@
 import type { Change, Entry } from "../wire/index.js";
 import type { StateClient } from "./client.js";
 
+/** A whole reading of the records, or changes since the last item. */
 export type FeedItem =
   | { kind: "reset"; entries: Entry[]; revision: number; asOf: number }
   | { kind: "changes"; changes: Change[]; revision: number; asOf: number };
 
+/** How often the service is asked, in milliseconds. */
 export interface FeedPace {
   /** How long one watch stays open: bounds how old an unchanged view may be. */
   waitMs: number;
@@ -19,6 +21,7 @@
   retryMs: number;
 }
 
+/** The stream of records: a whole reading, then changes in order; a reading again after a gap. */
 export function changeFeed(
   client: StateClient,
   /** What is read whole, and what is then followed: a prefix of it. */
--- a/src/state/freshness.ts
+++ b/src/state/freshness.ts
@@ -6,10 +6,11 @@
 import type { Replica } from "./replica.js";
 
 interface Asking {
-  resolve(): void;
-  reject(err: Error): void;
+  resolve: () => void;
+  reject: (err: Error) => void;
 }
 
+/** Waits until the replica is as new as the service was when somebody asked. */
 export class Freshness {
   private asking: Asking[] = [];
   private reading = false;
@@ -17,7 +18,7 @@
   constructor(
     private readonly state: Pick<StateClient, "revision">,
     private readonly replica: Pick<Replica, "reach">,
-    private readonly patienceMs: number,
+    private readonly queueTimeoutMs: number,
   ) {}
 
   /** Resolves once the copy holds all that was durable when this was called; fails if that takes too long. */
@@ -47,7 +48,9 @@
   private async reached(revision: number): Promise<void> {
     let timer: NodeJS.Timeout | undefined;
     const late = new Promise<never>((_, reject) => {
-      timer = setTimeout(() => reject(new StateFailure("the feed is behind", false)), this.patienceMs);
+      timer = setTimeout(() => {
+        reject(new StateFailure("the feed is behind", false));
+      }, this.queueTimeoutMs);
     });
     try {
       await Promise.race([this.replica.reach(revision), late]);
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -10,26 +10,26 @@
 export const keys = {
   leader: `${LIVE}leader`,
   member: (node: string) => `${LIVE}members/${node}`,
-  share: (n: number) => `${LIVE}shares/${n}`,
+  shard: (n: number) => `${LIVE}shards/${n}`,
   job: (id: string) => `${LIVE}jobs/${id}`,
-  /** Completed tasks of many jobs of a share. */
-  progress: (share: number, page: number) => `${LIVE}done/${share}/${page}`,
+  /** Completed tasks of many jobs of a shard. */
+  progress: (shard: number, page: number) => `${LIVE}done/${shard}/${page}`,
   /** Completed tasks of one job of very many. */
   done: (id: string, chunk: number) => `${LIVE}done/${id}/${chunk}`,
   /** Machines that came together. */
   machines: (name: string) => `${LIVE}machines/${name}`,
-  /** Changes with each adoption of machines that no order brought: of two such writes, one fails. */
-  adoption: `${LIVE}adoption`,
+  /** Changes with each registration of machines that no order brought: of two such writes, one fails. */
+  registration: `${LIVE}registration`,
   order: (name: string) => `${LIVE}orders/${name}`,
-  /** What a share is short of, where its owner cannot tell the leader. */
-  demand: (share: number) => `${LIVE}demand/${share}`,
+  /** What a shard is short of, where its owner cannot tell the leader. */
+  demand: (shard: number) => `${LIVE}demand/${shard}`,
   type: (name: string) => `${LIVE}types/${encodeURIComponent(name)}`,
   ended: (id: string) => `${ROOT}ended/${id}`,
 };
 
 export const prefixes = {
   members: `${LIVE}members/`,
-  shares: `${LIVE}shares/`,
+  shards: `${LIVE}shards/`,
   jobs: `${LIVE}jobs/`,
   done: `${LIVE}done/`,
   machines: `${LIVE}machines/`,
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -4,6 +4,7 @@
 import type { FeedItem } from "./feed.js";
 import { LIVE } from "./keys.js";
 
+/** What others may see of this node's copy of the records. */
 export interface ReplicaView {
   readonly revision: number;
   /** Steady time up to which this view surely holds everything durable; -Infinity before the first reading. */
@@ -20,6 +21,7 @@
   reached(): void;
 }
 
+/** This node's copy of the live records. */
 export class Replica extends Writable implements ReplicaView {
   revision = 0;
   asOf = -Infinity;
--- a/src/wire/cloud.ts
+++ b/src/wire/cloud.ts
@@ -1,6 +1,7 @@
 /** What the cloud offers, rents and lists. */
 import * as z from "zod";
 
+/** A type of machines that the cloud rents. */
 export interface MachineType {
   name: string;
   cpus: number;
@@ -14,6 +15,7 @@
   zones: string[];
 }
 
+/** A machine in the cloud's list. */
 export interface ListedMachine {
   host: string;
   type: string;
@@ -23,6 +25,7 @@
   ageS: number;
 }
 
+/** A request for machines, under a name that never comes again. */
 export interface RentalRequest {
   name: string;
   type: string;
@@ -98,6 +101,7 @@
   })
   .transform((l) => ({ machines: l.hosts, more: l.truncated === true }));
 
+/** A rental request as the cloud expects it. */
 export function rentalToWire(request: RentalRequest): object {
   return {
     hire: request.name,
--- a/src/wire/paths.ts
+++ b/src/wire/paths.ts
@@ -16,7 +16,7 @@
   cloud: {
     types: "/flavors",
     rent: "/rentals",
-    giveBack: "/rentals/return",
+    returnMachines: "/rentals/return",
     list: (after: string | undefined, limit: number) => query("/rentals", { since: after, limit }),
   },
   state: {
@@ -32,6 +32,7 @@
   },
 } as const;
 
+/** A request to return machines as the cloud expects it. */
 export function cloudReturnToWire(hosts: string[]): object {
   return { hosts };
 }
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -1,6 +1,7 @@
 /** The state service's messages. */
 import * as z from "zod";
 
+/** A record: key, value and the version of its last change. */
 export interface Entry {
   key: string;
   value: unknown;
@@ -14,12 +15,14 @@
   version: number;
 }
 
+/** A condition of a transaction: the key has this version; 0: it does not exist. */
 export interface Guard {
   key: string;
   /** The version that the key must have; 0 means that it must not exist. */
   version: number;
 }
 
+/** One change of a transaction. */
 export type Write = { put: string; value: unknown; lease?: number } | { remove: string };
 
 const revision = z.int().nonnegative();
@@ -56,6 +59,7 @@
 export const conflictSchema = z.object({ failed: z.array(z.string()) }).transform((c) => c.failed);
 export const leaseSchema = z.object({ hold: revision }).transform((l) => l.hold);
 
+/** A transaction as the state service expects it. */
 export function transactionToWire(guards: Guard[], writes: Write[]): object {
   return {
     guards: guards.map((g) => ({ path: g.key, stamp: g.version })),
@@ -67,6 +71,7 @@
   };
 }
 
+/** A request for a lease as the state service expects it. */
 export function leaseToWire(ttlMs: number): object {
   return { lifeMs: ttlMs };
 }
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -2,6 +2,7 @@
 import * as z from "zod";
 
 export const PRIORITIES = ["best_effort", "normal", "urgent", "critical"] as const;
+/** From the lowest to the highest, see PRIORITIES. */
 export type Priority = (typeof PRIORITIES)[number];
 
 /** A job as the rest of the program knows it, in the field's usual terms. */
@@ -29,8 +30,10 @@
   deadlineS: number | null;
 }
 
+/** A job's state as users see it. */
 export type JobStage = "pending" | "running" | "done" | "cancelled";
 
+/** The answer to a question after a job. */
 export interface JobStatus {
   id: string;
   stage: JobStage;
@@ -94,6 +97,7 @@
     deadlineS: s.dueS ?? null,
   }));
 
+/** A checked message, or what is wrong with it. */
 export type Parsed<T> = { ok: true; value: T } | { ok: false; error: string };
 
 /** Runs a schema and words its first complaint in one line that names the field. */
@@ -101,22 +105,26 @@
   const result = schema.safeParse(input);
   if (result.success) return { ok: true, value: result.data };
   const issue = result.error.issues[0];
-  const where = issue?.path.join(".") || "body";
+  const where = issue === undefined || issue.path.length === 0 ? "body" : issue.path.join(".");
   return { ok: false, error: `${where}: ${issue?.message ?? "invalid"}` };
 }
 
+/** Checks a submission. */
 export function parseSubmission(input: unknown): Parsed<JobSpec> {
   return check(submissionSchema, input);
 }
 
+/** Whether a text has the form of a job id. */
 export function isJobId(text: string): boolean {
   return jobId.safeParse(text).success;
 }
 
+/** A state as users are told it. */
 export function stageToWire(stage: JobStage): string {
   return stage === "cancelled" ? "aborted" : stage;
 }
 
+/** A job's status as users are told it. */
 export function statusToWire(status: JobStatus): object {
   return {
     nameId: status.id,
@@ -126,6 +134,7 @@
   };
 }
 
+/** The answer to a submission or a cancellation as users are told it. */
 export function acceptedToWire(id: string, stage: JobStage): object {
   return { nameId: id, stage: stageToWire(stage) };
 }
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -2,9 +2,12 @@
 import * as z from "zod";
 import { check, type Parsed } from "./users.js";
 
+/** A task's state as its worker reports it. */
 export type TaskState = "fetching" | "running" | "saving" | "exited";
+/** Why a task ended. */
 export type ExitCause = "done" | "stopped" | "error" | "no_room" | "busy" | "unknown";
 
+/** One task in a report. */
 export interface TaskReport {
   job: string;
   index: number;
@@ -15,6 +18,7 @@
   saved: boolean;
 }
 
+/** A worker's report: its machine and all tasks on it. */
 export interface WorkerReport {
   host: string;
   address: string;
@@ -30,6 +34,7 @@
   tasks: TaskReport[];
 }
 
+/** What a worker is told to do with one task. */
 export type Command =
   | { op: "start"; job: string; index: number; attempt: number }
   | { op: "stop"; job: string; index: number; attempt: number; graceS: number }
@@ -98,6 +103,7 @@
     tasks: r.pieces,
   }));
 
+/** Checks a report. */
 export function parseReport(input: unknown): Parsed<WorkerReport> {
   return check(reportSchema, input);
 }
@@ -115,6 +121,7 @@
   }
 }
 
+/** The answer to a report as workers expect it. */
 export function commandsToWire(token: number, commands: Command[]): object {
   return { baton: token, orders: commands.map(commandToWire) };
 }
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -10,6 +10,7 @@
   group: MachineGroup;
 }
 
+/** Writes that change machine records, and which machines they are about. */
 export interface FleetChange {
   guards: Guard[];
   writes: Write[];
@@ -17,6 +18,7 @@
   hosts: string[];
 }
 
+/** All rented machines, as the records have them. */
 export class Fleet {
   private readonly groups = new Map<string, Known>();
   private readonly machines = new Map<string, MachineRecord>();
@@ -45,10 +47,16 @@
   }
 
   private take(change: Change): void {
-    if (change.value === undefined) return this.drop(change.key);
+    if (change.value === undefined) {
+      this.drop(change.key);
+      return;
+    }
     const group = readGroup(change.value);
     // A record that cannot be read proves nothing: its machines stay as they were known.
-    if (group === null) return void this.log.error({ key: change.key }, "unreadable machine record");
+    if (group === null) {
+      this.log.error({ key: change.key }, "unreadable machine record");
+      return;
+    }
     this.drop(change.key);
     this.groups.set(change.key, { version: change.version, group });
     for (const host of Object.keys(group.machines))
@@ -74,11 +82,9 @@
     for (const [key, members] of this.byGroup(hosts)) {
       if (writes.length >= room) break;
       const { version, group } = this.groups.get(key)!;
-      const machines = { ...group.machines };
-      for (const host of members) {
-        if (to === null) delete machines[host];
-        else machines[host] = to;
-      }
+      const others = Object.entries(group.machines).filter(([host]) => !members.includes(host));
+      const moved = to === null ? [] : members.map((host) => [host, to] as const);
+      const machines = Object.fromEntries([...others, ...moved]);
       guards.push({ key, version });
       const empty = Object.keys(machines).length === 0;
       writes.push(empty ? { remove: key } : { put: key, value: { ...group, machines } });
@@ -87,8 +93,8 @@
     return { guards, writes, hosts: changed };
   }
 
-  /** The writes that pass machines to another share: out of their groups, into new ones under names not used before. */
-  pass(hosts: string[], share: number, name: () => string, room: number): FleetChange {
+  /** The writes that pass machines to another shard: out of their groups, into new ones under names not used before. */
+  pass(hosts: string[], shard: number, name: () => string, room: number): FleetChange {
     const found: FleetChange = { guards: [], writes: [], hosts: [] };
     for (const [key, members] of this.byGroup(hosts)) {
       if (found.writes.length + 2 > room) break;
@@ -97,7 +103,7 @@
       const machines = Object.fromEntries(members.map((host) => [host, group.machines[host]!]));
       const fresh = keys.machines(name());
       found.guards.push(...out.guards, { key: fresh, version: 0 });
-      found.writes.push(...out.writes, { put: fresh, value: { ...group, share, machines } });
+      found.writes.push(...out.writes, { put: fresh, value: { ...group, shard, machines } });
       found.hosts.push(...members);
     }
     return found;
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -1,9 +1,10 @@
-/** What an owner knows of its share: jobs, machines, and which task is where. */
+/** What an owner knows of its shard: jobs, machines, and which task is where. */
 import { Bits } from "../jobs/bits.js";
 import type { JobRecord } from "../jobs/records.js";
 import type { MachineRecord } from "./records.js";
 import type { JobSpec, TaskReport } from "../wire/index.js";
 
+/** One attempt of a task on a machine. */
 export interface Placement {
   job: Job;
   index: number;
@@ -20,6 +21,7 @@
   stop: { why: "preempt" | "drain"; graceS: number } | null;
 }
 
+/** A live job as its owner knows it. */
 export class Job {
   readonly done: Bits;
   /** What the state service holds; the rest of `done` has yet to be written. */
@@ -106,6 +108,7 @@
   }
 }
 
+/** A machine of the shard as its owner knows it. */
 export class Machine {
   readonly placements = new Set<Placement>();
   /** Tasks reported that belong to no job we know: they are being stopped, and may be anybody's. */
@@ -113,14 +116,14 @@
   /** Whether a report has shown that the worker follows this owner's term. */
   heard = false;
   /** Whether an earlier owner may have tasks on it that no report has shown us yet. */
-  inCensus = false;
+  awaitsRecovery = false;
   session = 0;
   seq = 0;
   /** When the first report of the session came in, and when the last answers in it went out. */
   sessionSince = -Infinity;
   readonly answers: number[] = [];
   /** Since when our answers have been found not to arrive. */
-  deafSince: number | null = null;
+  responsesLostSince: number | null = null;
   /** When it first spoke in this term. */
   spokeAt: number | null = null;
   /** When the last report came in whose answer may have renewed the worker's lease. */
@@ -137,9 +140,9 @@
   readonly images = new Set<string>();
   /** What the last report said, for tests and for the checks of a drain. */
   reported: TaskReport[] = [];
-  /** Being passed to another share or drained: nothing new may be placed here. */
+  /** Being passed to another shard or drained: nothing new may be placed here. */
   leaving = false;
-  /** Running empty for another share: nothing new is placed here meanwhile. */
+  /** Running empty for another shard: nothing new is placed here meanwhile. */
   cordoned = false;
   private sum = { cpus: 0, gpus: 0, memoryGb: 0 };
 
@@ -154,8 +157,8 @@
   }
 
   /** A session has ended since answers were found not to arrive: what ran here is gone, and nothing new will. */
-  get deaf(): boolean {
-    return this.deafSince !== null && this.sessionSince >= this.deafSince;
+  get responsesLost(): boolean {
+    return this.responsesLostSince !== null && this.sessionSince >= this.responsesLostSince;
   }
 
   /** Whether new tasks may be placed here. */
@@ -171,7 +174,7 @@
       !this.leaving &&
       !this.record.drain &&
       !this.sick &&
-      this.deafSince === null &&
+      this.responsesLostSince === null &&
       this.noticeS === null
     );
   }
--- a/src/workers/records.ts
+++ b/src/workers/records.ts
@@ -1,15 +1,16 @@
 /**
- * The records of rented machines. Machines that were rented together share one record: a fleet of hundreds changes
+ * The records of rented machines. Machines that were rented together are kept in one record: a fleet of hundreds changes
  * within the few writes a second that the state service takes.
  */
 import * as z from "zod";
 
-/** `booting`: never spoke to an owner, and nothing is placed on it. `leaving`: named to be given back. */
+/** `booting`: never spoke to an owner, and nothing is placed on it. `leaving`: selected for removal. */
 const stage = z.enum(["booting", "up", "leaving"]);
+/** How far a machine is in its life. */
 export type MachineStage = z.infer<typeof stage>;
 
 const groupSchema = z.object({
-  share: z.int().nonnegative(),
+  shard: z.int().nonnegative(),
   type: z.string(),
   zone: z.string(),
   spot: z.boolean(),
@@ -18,13 +19,14 @@
   machines: z.record(z.string(), stage),
 });
 
+/** Machines that were rented together, in one record. */
 export type MachineGroup = z.infer<typeof groupSchema>;
 
 /** One machine, as its group's record has it. */
 export interface MachineRecord extends Omit<MachineGroup, "machines"> {
   /** The key of the group's record. */
   group: string;
-  /** Whether it has been named to be given back. */
+  /** Whether it has been selected for removal. */
   drain: boolean;
   /** Whether it has ever spoken to an owner. Nothing is placed on it before this is written. */
   up: boolean;
@@ -32,10 +34,11 @@
 
 export const readGroup = (value: unknown): MachineGroup | null => groupSchema.safeParse(value).data ?? null;
 
+/** One machine out of its group's record. */
 export function machineOf(key: string, group: MachineGroup, host: string): MachineRecord {
-  const { share, type, zone, spot, since } = group;
+  const { shard, type, zone, spot, since } = group;
   const is = group.machines[host];
-  return { group: key, share, type, zone, spot, since, drain: is === "leaving", up: is !== "booting" };
+  return { group: key, shard, type, zone, spot, since, drain: is === "leaving", up: is !== "booting" };
 }
 
 /** How many machines one record may hold, whatever their names: names have at most 100 characters. */
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -5,6 +5,7 @@
 import { REPORT_TIMEOUT_S, type Command, type TaskReport, type WorkerReport } from "../wire/index.js";
 import { attach, type Job, type Machine, type Placement } from "./model.js";
 
+/** What taking in a report needs to know of the shard. */
 export interface ReportContext {
   jobs: Map<string, Job>;
   now: number;
@@ -64,7 +65,7 @@
 }
 
 /**
- * Guards against a late report, or a copy of one, from an earlier owner's time or another share's: what it shows may
+ * Guards against a late report, or a copy of one, from an earlier owner's time or another shard's: what it shows may
  * have changed since under that owner's commands, so that it shows nothing. Our answer carries our token, and the
  * report that has it tells the truth.
  *
@@ -72,7 +73,7 @@
  * proves that no answer of this term before it was taken. So what ran there when the term began lives on past a lease
  * only if the answer to this very report is taken, and only if it was sent within that lease; the worker drops an
  * answer that takes longer than its time-out. Reports after both say nothing of the lease any more: the machine counts
- * as silent then, however often it speaks, and holds up neither the share nor a job.
+ * as silent then, however often it speaks, and holds up neither the shard nor a job.
  */
 function takeUnfollowed(machine: Machine, { now, startedAt, leaseMs }: ReportContext): Command[] {
   if (now - startedAt <= leaseMs + REPORT_TIMEOUT_S * 1000) machine.lastReportAt = now;
@@ -88,12 +89,15 @@
     const oldest = machine.answers[0];
     const unheeded =
       machine.answers.length === REMEMBERED_ANSWERS && oldest !== undefined && now - oldest < leaseMs;
-    if (machine.session > 0 && unheeded) machine.deafSince ??= now;
+    if (machine.session > 0 && unheeded) machine.responsesLostSince ??= now;
     machine.session = session;
     machine.sessionSince = now;
     machine.answers.length = 0;
-  } else if (machine.deafSince !== null && now - Math.max(machine.sessionSince, machine.deafSince) > leaseMs)
-    machine.deafSince = null;
+  } else if (
+    machine.responsesLostSince !== null &&
+    now - Math.max(machine.sessionSince, machine.responsesLostSince) > leaseMs
+  )
+    machine.responsesLostSince = null;
 }
 
 /** Remembers that an answer goes out now. */
@@ -111,21 +115,9 @@
   context: ReportContext,
 ): Command[] {
   const { job: id, index, attempt } = task;
-  const forget: Command = { op: "forget", job: id, index, attempt };
   const stop: Command = { op: "stop", job: id, index, attempt, graceS: 0 };
   const ours = placement !== undefined && seen.has(placement);
-  if (task.state === "exited") {
-    if (ours) release(placement);
-    if (ours && task.cause === "done") context.finished(placement);
-    if (job === undefined) return [forget];
-    if (task.cause === "done") {
-      // A result counts whichever attempt brought it. It is reaped only once it is durable.
-      if (job.markDone(index)) context.ended(job, index, machine, "done");
-      return job.durable.has(index) || job.closing ? [forget] : [];
-    }
-    if (ours) context.ended(job, index, machine, task.cause ?? "error");
-    return [forget];
-  }
+  if (task.state === "exited") return answerExited(machine, task, job, ours ? placement : null, context);
   if (ours) {
     if (placement.state !== task.state) placement.since = context.now;
     placement.state = task.state;
@@ -140,7 +132,7 @@
     return [stop];
   }
   // An earlier owner's attempt that goes on: it is ours from now on.
-  const adopted: Placement = {
+  const takenOver: Placement = {
     job,
     index,
     attempt,
@@ -151,8 +143,8 @@
     resumed: true,
     unseen: 0,
   };
-  attach(adopted);
-  seen.add(adopted);
+  attach(takenOver);
+  seen.add(takenOver);
   if (task.state === "running") machine.images.add(job.spec.image);
   return [];
 }
@@ -172,7 +164,7 @@
     // Guards against a task that waits for ever on a machine that hears nothing: this report proves that none of the
     // starts so far was taken, and this answer brings no other.
     if (startAgain && placement.unseen++ < LOST_ANSWERS) continue;
-    if (startAgain) machine.deafSince ??= now;
+    if (startAgain) machine.responsesLostSince ??= now;
     release(placement);
   }
 }
@@ -198,6 +190,29 @@
   machine.emptyReports++;
 }
 
+/** A task that has ended: its room is free, and its result is kept by the worker until it is durable. */
+function answerExited(
+  machine: Machine,
+  task: TaskReport,
+  job: Job | undefined,
+  /** The attempt, if it is one that this owner knows of. */
+  placement: Placement | null,
+  context: ReportContext,
+): Command[] {
+  const { index, attempt, cause } = task;
+  const forget: Command = { op: "forget", job: task.job, index, attempt };
+  if (placement !== null) release(placement);
+  if (placement !== null && cause === "done") context.finished(placement);
+  if (job === undefined) return [forget];
+  if (cause === "done") {
+    // A result counts whichever attempt brought it. It is reaped only once it is durable.
+    if (job.markDone(index)) context.ended(job, index, machine, "done");
+    return job.durable.has(index) || job.closing ? [forget] : [];
+  }
+  if (placement !== null) context.ended(job, index, machine, cause ?? "error");
+  return [forget];
+}
+
 /** The task is proven not to be on its machine any more. */
 export function release(placement: Placement): void {
   placement.machine.detach(placement);
--- a/test/sizing.test.ts
+++ b/test/autoscaling.test.ts
@@ -2,16 +2,18 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Demand, MachineCondition, Summary } from "../src/peers/messages.js";
-import { decideSizing, marketKey, type Known } from "../src/sizing/size.js";
-import { fromDemandRecord, toDemandRecord } from "../src/sizing/demand-record.js";
-import { Listing } from "../src/sizing/listing.js";
-import { Strangers } from "../src/sizing/strangers.js";
+import { decideScaling, marketKey, type Known } from "../src/autoscaling/decide.js";
+import { fromDemandRecord, toDemandRecord } from "../src/autoscaling/demand-record.js";
+import { Listing } from "../src/autoscaling/listing.js";
+import { UnregisteredMachines } from "../src/autoscaling/unregistered-machines.js";
 import { createLogger } from "../src/runtime/log.js";
 import type { ListedMachine } from "../src/wire/index.js";
 import { Fleet } from "../src/workers/fleet.js";
 import { smallType } from "./support/records.js";
 import { number, traceTests, type Step } from "./support/trace.js";
 
+// One case for each event that a trace may hold: read together with the traces.
+// eslint-disable-next-line max-lines-per-function
 function newScenario(): Step {
   let wallNow = 0;
   const machines = new Map<string, Known>();
@@ -19,25 +21,26 @@
   const refused = new Set<string>();
   const caps = { maxMachines: 10, maxTasks: 1000, idleWaitMs: null };
 
-  const summary = (share: number): Summary =>
-    (summaries[share] ??= {
-      share,
+  const summary = (shard: number): Summary =>
+    (summaries[shard] ??= {
+      shard,
       token: 1,
-      settled: true,
+      recovered: true,
       load: { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 },
       demand: [],
       machines: [],
     });
 
+  // eslint-disable-next-line max-lines-per-function -- one case an event
   return (event) => {
     const name = event.words[0] ?? "";
-    const share = number(event, "share", 0);
+    const shard = number(event, "shard", 0);
     switch (event.verb) {
       case "at":
         wallNow = Number(name) * 1000;
         return [];
-      case "share":
-        summary(Number(name)).settled = !event.options.has("unsettled");
+      case "shard":
+        summary(Number(name)).recovered = !event.options.has("unrecovered");
         return [];
       case "wants": {
         const demand: Demand = {
@@ -50,7 +53,7 @@
           count: Number(name),
           priority: event.options.get("priority") ?? "normal",
         };
-        summary(share).demand = Number(name) === 0 ? [] : [...summary(share).demand, demand];
+        summary(shard).demand = Number(name) === 0 ? [] : [...summary(shard).demand, demand];
         return [];
       }
       case "machine": {
@@ -58,7 +61,7 @@
         const since = number(event, "since", wallNow / 1000) * 1000;
         machines.set(name, {
           host: name,
-          share,
+          shard,
           type: "small",
           zone: "north",
           spot,
@@ -75,15 +78,15 @@
           forMs: number(event, "for", 0) * 1000,
           emptyReports: number(event, "empty", 0),
         };
-        const others = summary(share).machines.filter((m) => m.host !== name);
-        summary(share).machines = [...others, said];
+        const others = summary(shard).machines.filter((m) => m.host !== name);
+        summary(shard).machines = [...others, said];
         return [];
       }
       case "refused":
         refused.add(name);
         return [];
       case "pass": {
-        const { order, move, cordon, drains } = decideSizing({
+        const { order, move, cordon, drains } = decideScaling({
           types: [smallType],
           summaries,
           machines: [...machines.values()],
@@ -94,10 +97,10 @@
         });
         return [
           order &&
-            `order ${order.count} ${marketKey(order)} for ${order.parts.map((p) => `${p.count} share ${p.share}`).join(", ")}`,
-          move && `move ${move.hosts.join(" ")} from share ${move.share} to ${move.to}`,
-          cordon && `cordon one of share ${cordon.share} for ${cordon.to}`,
-          ...drains.map((drain) => `name ${drain.hosts.join(" ")} of share ${drain.share}`),
+            `order ${order.count} ${marketKey(order)} for ${order.parts.map((p) => `${p.count} shard ${p.shard}`).join(", ")}`,
+          move && `move ${move.hosts.join(" ")} from shard ${move.shard} to ${move.to}`,
+          cordon && `cordon one of shard ${cordon.shard} for ${cordon.to}`,
+          ...drains.map((drain) => `name ${drain.hosts.join(" ")} of shard ${drain.shard}`),
         ].filter((line) => line !== null);
       }
     }
@@ -105,20 +108,20 @@
   };
 }
 
-traceTests("sizing", newScenario);
+traceTests("autoscaling", newScenario);
 
 test("one late copy of a report does not bring a returned machine back into the records", () => {
-  const strangers = new Strangers(750);
+  const unregistered = new UnregisteredMachines(750);
   const copy = { host: "i-1", session: 2, seq: 40 };
   // However often the same report comes, it is one report; an older one proves nothing either.
   assert.deepEqual(
-    [0, 1000, 60_000].map((at) => strangers.hear(copy, at)),
+    [0, 1000, 60_000].map((at) => unregistered.hear(copy, at)),
     [false, false, false],
   );
-  assert.equal(strangers.hear({ ...copy, seq: 39 }, 61_000), false);
-  assert.equal(strangers.hear({ ...copy, seq: 41 }, 61_500), true);
-  strangers.forget("i-1");
-  assert.equal(strangers.hear({ ...copy, seq: 42 }, 62_000), false);
+  assert.equal(unregistered.hear({ ...copy, seq: 39 }, 61_000), false);
+  assert.equal(unregistered.hear({ ...copy, seq: 41 }, 61_500), true);
+  unregistered.forget("i-1");
+  assert.equal(unregistered.hear({ ...copy, seq: 42 }, 62_000), false);
 });
 
 test("a summary left in the records says what is short and what is coming, and shows no machine idle", () => {
@@ -140,9 +143,9 @@
   });
   const load = { up: 2, empty: 1, cpus: 8, used: 4, waiting: 7 };
   const machines = [machine("i-1", "booting"), machine("i-2", "idle")];
-  const left = toDemandRecord({ share: 3, token: 8, settled: true, load, demand: [demand], machines });
+  const left = toDemandRecord({ shard: 3, token: 8, recovered: true, load, demand: [demand], machines });
   const read = fromDemandRecord(3, JSON.parse(JSON.stringify(left)), ["i-1", "i-2"]);
-  assert.deepEqual([read?.share, read?.token, read?.settled, read?.demand], [3, 8, true, [demand]]);
+  assert.deepEqual([read?.shard, read?.token, read?.recovered, read?.demand], [3, 8, true, [demand]]);
   assert.deepEqual(
     read?.machines.map((m) => m.state),
     ["booting", "busy"],
@@ -179,13 +182,13 @@
   assert.equal(listing.after, undefined);
 });
 
-test("machines are given back in as many groups as one transaction takes out of the records", () => {
+test("machines are returned in as many groups as one transaction takes out of the records", () => {
   const fleet = new Fleet(createLogger("test"));
   const groups = Array.from({ length: 20 }, (_, g) => ({
     key: `fernpond/live/machines/g-${g}`,
     version: g + 1,
     value: {
-      share: 0,
+      shard: 0,
       type: "small",
       zone: "north",
       spot: false,
--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -10,7 +10,9 @@
 import { settingsText } from "./support/settings.js";
 
 const folder = mkdtempSync(join(tmpdir(), "fernpond-config-"));
-after(() => rmSync(folder, { recursive: true }));
+after(() => {
+  rmSync(folder, { recursive: true });
+});
 
 function file(name: string, text: string): string {
   const path = join(folder, name);
--- a/test/elections.test.ts
+++ b/test/elections.test.ts
@@ -3,13 +3,18 @@
 import { test } from "node:test";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { claimOf, decideMembership, entryOf, type Claim } from "../src/membership/decide.js";
+import {
+  transactionFor,
+  decideMembership,
+  entryOf,
+  type OwnershipTransaction,
+} from "../src/membership/decide.js";
 import { readCluster, sameProcess, type Cluster, type Process } from "../src/membership/records.js";
 import { keys } from "../src/state/keys.js";
 import { FakeView } from "./support/records.js";
 
 const NODES = ["a", "b", "c"];
-const SHARES = NODES.length;
+const SHARDS = NODES.length;
 
 interface Running extends Process {
   lease: number;
@@ -20,7 +25,7 @@
   private readonly store = new FakeView();
   private readonly leases = new Map<number, string[]>();
   /** Requests on their way; a delivered one may stay and come again. */
-  private under: { claim: Claim; by: Running }[] = [];
+  private under: { claim: OwnershipTransaction; by: Running }[] = [];
   readonly up = new Map<string, Running>();
   private born = 0;
   private revision = 0;
@@ -34,7 +39,7 @@
   }
 
   get cluster(): Cluster {
-    return readCluster(this.store, SHARES);
+    return readCluster(this.store, SHARDS);
   }
 
   /** A process starts, whether or not the service has dropped its old self's hold yet. */
@@ -56,10 +61,10 @@
 
   act(me: Running, seen: Cluster): void {
     const { node, incarnation } = me;
-    const view = { cluster: seen, controllers: SHARES, ledMs: 9999, gatherMs: 1, mayMove: false };
+    const view = { cluster: seen, controllers: SHARDS, ledMs: 9999, gatherMs: 1, mayMove: false };
     for (const action of decideMembership({ ...view, me: { node, incarnation } }))
       if (action.kind !== "ask_hand_over")
-        this.under.push({ claim: claimOf(action, { node, incarnation }, me.lease, seen), by: me });
+        this.under.push({ claim: transactionFor(action, { node, incarnation }, me.lease, seen), by: me });
   }
 
   deliver(keep: boolean): void {
@@ -83,13 +88,13 @@
     this.check(before);
   }
 
-  /** A live owner that holds its membership loses its share to nobody. */
+  /** A live owner that holds its membership loses its shard to nobody. */
   private check(before: Cluster): void {
-    before.shares.forEach((owner, n) => {
-      if (owner === null || sameProcess(this.cluster.shares[n], owner)) return;
+    before.shards.forEach((owner, n) => {
+      if (owner === null || sameProcess(this.cluster.shards[n], owner)) return;
       const alive = this.up.get(owner.node);
       const holds = sameProcess(alive, owner) && sameProcess(before.members.get(owner.node), owner);
-      assert.equal(holds, false, `share ${n} taken from ${owner.incarnation}`);
+      assert.equal(holds, false, `shard ${n} taken from ${owner.incarnation}`);
     });
   }
 
@@ -109,7 +114,7 @@
   }
 }
 
-test("whatever comes late or twice, no live owner loses a share, and all shares come to live owners", () => {
+test("whatever comes late or twice, no live owner loses a shard, and all shards come to live owners", () => {
   for (let seed = 1; seed <= 200; seed++) {
     const world = new World(seed);
     for (const node of NODES) world.start(node);
@@ -124,9 +129,9 @@
       else world.deliver(world.pick(2) === 0);
     }
     world.settle();
-    const { leader, shares } = world.cluster;
+    const { leader, shards } = world.cluster;
     assert.ok(leader !== null && sameProcess(world.up.get(leader.node), leader), `leader, seed ${seed}`);
-    for (const owner of shares)
+    for (const owner of shards)
       assert.ok(owner !== null && sameProcess(world.up.get(owner.node), owner), `owner, seed ${seed}`);
   }
 });
--- a/test/meetings.test.ts
+++ b/test/fault-combinations.test.ts
@@ -1,20 +1,20 @@
-/** What happens where two troubles meet: whole deployments in simulated time, watched from the workers' and users' side. */
+/** What happens where two faults meet: whole deployments in simulated time, watched from the workers' and users' side. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { knownRed } from "./support/known-red.js";
-import { meetings } from "./support/meetings.js";
+import { faultCombinations } from "./support/fault-combinations.js";
 import { Simulation } from "./support/simulation.js";
 import type { SettingsOptions } from "./support/settings.js";
-import { meet } from "./support/troubles.js";
+import { combineAtRandom } from "./support/faults.js";
 import { TEAMS, work } from "./support/workload.js";
 
-/** Within this of the end of all troubles all that was accepted is done. */
+/** Within this of the end of all faults all that was accepted is done. */
 const CLEARED_MS = 600_000;
 
-/** How many mixtures are played; more of them can be asked for by hand. */
-const [FIRST = 1, LAST = 16] = (process.env.MIXTURES ?? "").split("-").filter(Boolean).map(Number);
+/** How many randomized scenarios are played; more of them can be asked for by hand. */
+const [FIRST = 1, LAST = 16] = (process.env.RANDOM_SCENARIOS ?? "").split("-").filter(Boolean).map(Number);
 
-/** Plays a day, and sees that all ends well once its troubles are over. */
+/** Plays a day, and sees that all ends well once its faults are over. */
 async function day(
   seed: number,
   play: (world: Simulation) => Promise<unknown>,
@@ -32,18 +32,18 @@
   }
 }
 
-for (const { name: meeting, play, settings } of meetings) {
-  const name = `where troubles meet: ${meeting}`;
+for (const { name: combination, play, settings } of faultCombinations) {
+  const name = `faults combined: ${combination}`;
   test(name, knownRed(name), async () => {
     for (let seed = 1; seed <= 2; seed++) await day(seed, play, settings);
   });
 }
 
 for (let seed = FIRST; seed <= LAST; seed++)
-  test(`troubles that meet by chance break no rule, and all that was accepted ends: mixture ${seed}`, () =>
+  test(`faults combined at random break no rule, and all that was accepted ends: randomized scenario ${seed}`, () =>
     day(seed, async (world) => {
       let met: string[] | null = null;
-      void meet(world, 10, 90_000).then((names) => (met = names));
+      void combineAtRandom(world, 10, 90_000).then((names) => (met = names));
       await work(world, () => met !== null);
       return met;
     }));
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -3,13 +3,13 @@
 import { test } from "node:test";
 import { decideMembership, type MembershipView } from "../src/membership/decide.js";
 import { Membership } from "../src/membership/membership.js";
-import { sameTerm, type Held } from "../src/membership/records.js";
+import { sameTerm, type ProcessRecord } from "../src/membership/records.js";
 import type { StateClient } from "../src/state/client.js";
 import { keys } from "../src/state/keys.js";
 import type { Guard, Write } from "../src/wire/index.js";
 import { FakeView, silent } from "./support/records.js";
 
-const member = (node: string, version: number, incarnation = `${node}.1`): Held => ({
+const member = (node: string, version: number, incarnation = `${node}.1`): ProcessRecord => ({
   node,
   incarnation,
   version,
@@ -23,7 +23,7 @@
     cluster: {
       members,
       leader: member("a", 9),
-      shares: [member("a", 10), member("b", 11), member("c", 12)],
+      shards: [member("a", 10), member("b", 11), member("c", 12)],
       ...over,
     },
     controllers: 3,
@@ -40,39 +40,39 @@
 
 test("a process that came back takes over from its old self at once", () => {
   const old = member("a", 9, "a.0");
-  const actions = decideMembership(view({ leader: old, shares: [member("a", 10, "a.0"), b, c] }));
+  const actions = decideMembership(view({ leader: old, shards: [member("a", 10, "a.0"), b, c] }));
   assert.deepEqual(
     actions.map((x) => x.kind),
-    ["lead", "reclaim"],
+    ["lead", "resume"],
   );
 });
 
-test("only a share whose owner's record is gone is given to another, the one with the fewest", () => {
+test("only a shard whose owner's record is gone is given to another, the one with the fewest", () => {
   const members = new Map([a, b].map((m) => [m.node, m]));
-  const shares = [member("a", 10), member("c", 11), member("c", 12)];
-  const actions = decideMembership(view({ members, shares }));
+  const shards = [member("a", 10), member("c", 11), member("c", 12)];
+  const actions = decideMembership(view({ members, shards }));
   assert.deepEqual(
-    actions.map((x) => (x.kind === "assign" ? `${x.share} to ${x.to.node}` : x.kind)),
+    actions.map((x) => (x.kind === "assign" ? `${x.shard} to ${x.to.node}` : x.kind)),
     ["1 to b", "2 to a"],
   );
 });
 
-test("shares that nobody ever owned wait for the others to come up, but not for ever", () => {
+test("shards that nobody ever owned wait for the others to come up, but not for ever", () => {
   const members = new Map([["a", a]]);
-  const fresh = { members, shares: [null, null, null] };
+  const fresh = { members, shards: [null, null, null] };
   assert.deepEqual(decideMembership(view(fresh, { ledMs: 4999 })), []);
   assert.equal(decideMembership(view(fresh, { ledMs: 5000 })).length, 3);
 });
 
-test("an uneven cluster is evened out by asking an owner, once a share period", () => {
-  const uneven = { shares: [member("b", 10), member("b", 11), member("c", 12)] };
+test("an uneven cluster is evened out by asking an owner, once a shard period", () => {
+  const uneven = { shards: [member("b", 10), member("b", 11), member("c", 12)] };
   const [action] = decideMembership(view(uneven));
-  assert.deepEqual(action, { kind: "ask_hand_over", share: 0, owner: "b", to: "a" });
+  assert.deepEqual(action, { kind: "ask_hand_over", shard: 0, owner: "b", to: "a" });
   assert.deepEqual(decideMembership(view(uneven, { mayMove: false })), []);
 });
 
-test("an owner that was cut off and comes to own its share again starts afresh", () => {
-  // Cut off at version 10, while another owned the share at 11 and passed it back at 12.
+test("an owner that was cut off and comes to own its shard again starts afresh", () => {
+  // Cut off at version 10, while another owned the shard at 11 and passed it back at 12.
   assert.equal(sameTerm(10, { version: 12 }, undefined), false);
   assert.equal(sameTerm(10, { version: 12, mark: "m" }, { from: 11, mark: "m" }), false);
   assert.equal(sameTerm(10, { version: 11, mark: "m" }, { from: 10, mark: "m" }), true);
@@ -84,14 +84,14 @@
 
 const settle = (): Promise<unknown> => new Promise((resolve) => setImmediate(resolve));
 
-/** The membership of node a, which owns three shares at the versions 10, 11 and 12 and whose writes are carried out at once. */
+/** The membership of node a, which owns three shards at the versions 10, 11 and 12 and whose writes are carried out at once. */
 function owningAll(written: (membership: Membership) => void): { membership: Membership; store: FakeView } {
   const store = new FakeView();
   const me = { node: "a", incarnation: "a.1" };
   store.put(keys.leader, me, 9);
   store.put(keys.member("b"), { node: "b", incarnation: "b.1" }, 2);
   store.put(keys.member("c"), { node: "c", incarnation: "c.1" }, 3);
-  [10, 11, 12].forEach((version, n) => store.put(keys.share(n), me, version));
+  [10, 11, 12].forEach((version, n) => store.put(keys.shard(n), me, version));
   let revision = 12;
   const state = {
     grant: () => Promise.resolve(1),
@@ -107,18 +107,18 @@
       return { ok: true as const, revision };
     },
   };
-  const figures = { holdMs: 5000, marginMs: 100, staleMs: 5000, sharePeriodMs: 30_000 };
+  const figures = { membershipLeaseMs: 5000, marginMs: 100, staleMs: 5000, shardMovePeriodMs: 30_000 };
   const hooks = {
     ownership: () => undefined,
-    askHandOver: (_owner: string, share: number, to: string) =>
-      void membership.tell({ kind: "hand_over", share, to }),
+    askHandOver: (_owner: string, shard: number, to: string) =>
+      void membership.tell({ kind: "hand_over", shard, to }),
   };
   const client = state as unknown as StateClient;
   const membership = new Membership(me, 3, 3, figures, client, store, () => 0, hooks, silent);
   return { membership, store };
 }
 
-test("a leader that owns every share passes one on, although it asks itself while it acts", async () => {
+test("a leader that owns every shard passes one on, although it asks itself while it acts", async () => {
   const { membership } = owningAll(() => undefined);
   for (let i = 0; i < 3; i++) {
     membership.tell({ kind: "tick" });
@@ -126,34 +126,34 @@
     await settle();
     membership.tell({ kind: "records" });
   }
-  const owners = membership.cluster.shares.map((s) => s?.node);
+  const owners = membership.cluster.shards.map((s) => s?.node);
   assert.deepEqual(owners.sort(), ["a", "a", "b"]);
 });
 
-test("an owner goes on with a share whose raised token the feed shows before the write is answered", async () => {
-  const raised = 14;
+test("an owner goes on with a shard whose advanced token the feed shows before the write is answered", async () => {
+  const advanced = 14;
   const went: (boolean | number)[] = [];
   const { membership, store } = owningAll((of) => {
-    if (store.get(keys.share(0))?.version !== raised) return;
+    if (store.get(keys.shard(0))?.version !== advanced) return;
     of.tell({ kind: "records" });
     went.push(of.continues(0, 10), of.continues(1, 11), of.token(0) ?? 0);
   });
   membership.tell({ kind: "tick" });
   await settle();
   await settle();
-  membership.tell({ kind: "raise", share: 0 });
+  membership.tell({ kind: "advance_token", shard: 0 });
   await settle();
   await settle();
-  assert.deepEqual(went, [true, true, raised]);
+  assert.deepEqual(went, [true, true, advanced]);
 });
 
-test("an owner goes on with a share whose token it tried to raise once more before the feed showed the first try", async () => {
+test("an owner goes on with a shard whose token it tried to advance once more before the feed showed the first try", async () => {
   const { membership } = owningAll(() => undefined);
   membership.tell({ kind: "tick" });
   await settle();
   await settle();
   for (let i = 0; i < 2; i++) {
-    membership.tell({ kind: "raise", share: 0 });
+    membership.tell({ kind: "advance_token", shard: 0 });
     await settle();
     await settle();
   }
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -4,8 +4,8 @@
 import { uncovered } from "../src/placement/forecast.js";
 import type { RoundInput } from "../src/placement/place.js";
 import { choosePreemptions } from "../src/placement/preempt.js";
-import { ShareKeeper } from "../src/placement/share-keeper.js";
-import type { Share } from "../src/placement/share.js";
+import { ShardOwner } from "../src/placement/shard-owner.js";
+import type { Shard } from "../src/placement/shard.js";
 import type { StateClient } from "../src/state/client.js";
 import { attach, Job, Machine } from "../src/workers/model.js";
 import { Fleet } from "../src/workers/fleet.js";
@@ -18,7 +18,7 @@
 
 function machines(): Machine[] {
   return Array.from({ length: MACHINES }, (_, i) => {
-    const of = { group: "g", share: 0, type: "small", zone: "north", spot: false, since: 0 };
+    const of = { group: "g", shard: 0, type: "small", zone: "north", spot: false, since: 0 };
     const machine = new Machine(`i-${i}`, { ...of, drain: false, up: true }, 0);
     machine.heard = true;
     return machine;
@@ -48,11 +48,11 @@
     ratio: () => 1,
     now: NOW,
     wallNow: NOW,
-    settled: true,
+    recovered: true,
     termToken: 0,
     resumeAt: null,
-    kept: new Map(),
-    reserved: new Map(),
+    overdueReservations: new Map(),
+    preemptionReservations: new Map(),
   };
 }
 
@@ -102,7 +102,7 @@
 test("reports lead to whole rounds for a part of the time only, and are served by their own machine's room otherwise", () => {
   let now = 0;
   const ROUND_MS = 8;
-  const share = {
+  const shard = {
     n: 0,
     wantsRound: true,
     report: () => [],
@@ -110,7 +110,7 @@
     finished: () => [],
     progressed: () => [],
     startsFor: () => [],
-    raised: () => undefined,
+    tokenAdvanced: () => undefined,
     attemptsRenewed: () => undefined,
     place: mock.fn(() => {
       now += ROUND_MS;
@@ -119,11 +119,12 @@
     placeOn: mock.fn(() => 0),
   };
   const figures = { roundMs: 50, spacingMs: 1000, preemptMs: 1000, quietTicks: 8 };
-  const hooks = { token: () => 1, raiseToken: () => undefined, summary: () => undefined };
-  const keeper = new ShareKeeper(
-    share as unknown as Share,
+  const noState = { txnOps: 8 };
+  const hooks = { token: () => 1, advanceToken: () => undefined, summary: () => undefined };
+  const owner = new ShardOwner(
+    shard as unknown as Shard,
     figures,
-    {} as StateClient,
+    noState as unknown as StateClient,
     new FakeView(),
     new Fleet(silent),
     () => now,
@@ -136,10 +137,10 @@
     now++;
     const parsed = parseReport({ ...wire, tick: i, baton: 1, recallS: null, pieces: [] });
     assert.ok(parsed.ok);
-    keeper.tell({ kind: "report", report: parsed.value, reply: () => undefined });
+    owner.tell({ kind: "report", report: parsed.value, reply: () => undefined });
   }
-  const rounds = share.place.mock.callCount();
+  const rounds = shard.place.mock.callCount();
   assert.ok(rounds > 1, "whole rounds are made");
   assert.ok(rounds * ROUND_MS < now / 4, `${rounds} rounds took ${rounds * ROUND_MS} of ${now} ms`);
-  assert.equal(rounds + share.placeOn.mock.callCount(), REPORTS);
+  assert.equal(rounds + shard.placeOn.mock.callCount(), REPORTS);
 });
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -10,7 +10,7 @@
 import { silent } from "./support/records.js";
 
 const frames: Frame[] = [
-  { id: 1, reply: false, body: { drain: { share: 2, hosts: ["i-1", "i-2"] } } },
+  { id: 1, reply: false, body: { drain: { shard: 2, hosts: ["i-1", "i-2"] } } },
   { id: 1, reply: true, body: { accepted: { hosts: [] } } },
   { id: 2, reply: true, body: { counts: { known: true, done: 3, running: 0 } } },
 ];
@@ -35,10 +35,10 @@
     await once(socket, "close");
   }
   const asker = new Peers([{ node: "b", address: `127.0.0.1:${port}` }], 5000, silent);
-  assert.deepEqual(await asker.ask("b", { drain: { share: 0, hosts: [] } }), {
+  assert.deepEqual(await asker.ask("b", { drain: { shard: 0, hosts: [] } }), {
     accepted: { hosts: ["i-9"] },
   });
-  await assert.rejects(asker.ask("c", { drain: { share: 0, hosts: [] } }), PeerSilent);
+  await assert.rejects(asker.ask("c", { drain: { shard: 0, hosts: [] } }), PeerSilent);
   asker.close();
   peers.close();
 });
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,7 +1,7 @@
-/** Order, forecast, preemption and parting, on small cases whose answers a person can check. */
+/** Order, forecast, preemption and shardAssignment, on small cases whose answers a person can check. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Parting } from "../src/jobs/parting.js";
+import { ShardAssignment } from "../src/jobs/shard-assignment.js";
 import { uncovered } from "../src/placement/forecast.js";
 import { placeOn, placeRound, queueOf, type Round, type RoundInput } from "../src/placement/place.js";
 import { choosePreemptions } from "../src/placement/preempt.js";
@@ -19,7 +19,7 @@
 }
 
 function machine(host: string, spot = false, zone = "north"): Machine {
-  const of = { group: "g", share: 0, type: "small", zone, spot, since: 0 };
+  const of = { group: "g", shard: 0, type: "small", zone, spot, since: 0 };
   const record = { ...of, drain: false, up: true };
   const made = new Machine(host, record, 0);
   made.heard = true;
@@ -56,11 +56,11 @@
     ratio: () => 1,
     now: NOW,
     wallNow: NOW,
-    settled: true,
+    recovered: true,
     termToken: 0,
-    reserved: new Map(),
+    preemptionReservations: new Map(),
     resumeAt: null,
-    kept: new Map(),
+    overdueReservations: new Map(),
     reportMs: 2000,
     ...over,
   };
@@ -161,11 +161,11 @@
     low.detach(victim);
   }
   // Less urgent work does not take the room before the job that it was made for has had its turn.
-  const late = { ...of, jobs: [low], reserved };
+  const late = { ...of, jobs: [low], preemptionReservations: reserved };
   assert.equal(wholeRound(late).starts.length, 0);
   assert.equal(placeOn(host, queueOf(late), late, () => false).starts.length, 0);
   assert.deepEqual(
-    wholeRound({ ...of, reserved }).starts.map((s) => s.job),
+    wholeRound({ ...of, preemptionReservations: reserved }).starts.map((s) => s.job),
     [urgent],
   );
 });
@@ -200,21 +200,21 @@
   );
 });
 
-test("teams keep to their shares; jobs of a single team go where there is room", () => {
-  const several = new Parting(teams, 2);
+test("teams keep to their shards; jobs of a single team go where there is room", () => {
+  const several = new ShardAssignment(teams, 2);
   several.note(1, { capacity: 8, backlog: 100 });
-  assert.equal(several.shareFor(jobSpec("req-1", { team: "capped" })), 1);
-  const single = new Parting(teams.slice(0, 1), 2);
+  assert.equal(several.shardFor(jobSpec("req-1", { team: "capped" })), 1);
+  const single = new ShardAssignment(teams.slice(0, 1), 2);
   single.note(0, { capacity: 8, backlog: 4 });
   single.note(1, { capacity: 8, backlog: -4 });
   const spec = jobSpec("req-1", { tasks: 10 });
   // The first one fills the room that the second then does not count on.
-  assert.deepEqual([single.shareFor(spec), single.shareFor(spec)], [1, 0]);
-  const limited = new Parting(teams.slice(1, 2), 2);
-  assert.equal(limited.shareFor(jobSpec("req-1", { team: "capped" })), 0);
+  assert.deepEqual([single.shardFor(spec), single.shardFor(spec)], [1, 0]);
+  const limited = new ShardAssignment(teams.slice(1, 2), 2);
+  assert.equal(limited.shardFor(jobSpec("req-1", { team: "capped" })), 0);
 });
 
-test("a report costs what it changes: its machine's room is offered, whatever the size of the share", () => {
+test("a report costs what it changes: its machine's room is offered, whatever the size of the shard", () => {
   const few = [machine("i-0"), machine("i-1")];
   const many = Array.from({ length: 400 }, (_, i) => machine(`i-${i}`));
   const jobs = ["req-1", "req-2", "req-3"].map((id) => job(id, { tasks: 50 }));
@@ -236,13 +236,16 @@
   const of = input([small, large], [host]);
   const round = wholeRound(of);
   // One processor is free, and the small tasks that keep coming do not get it.
-  assert.deepEqual([round.starts.length, round.kept.get(host)], [0, large]);
-  assert.equal(placeOn(host, queueOf(of), { ...of, kept: round.kept }, () => false).starts.length, 0);
+  assert.deepEqual([round.starts.length, round.reservations.get(host)], [0, large]);
+  assert.equal(
+    placeOn(host, queueOf(of), { ...of, overdueReservations: round.reservations }, () => false).starts.length,
+    0,
+  );
   for (const placement of [...host.placements]) {
     host.detach(placement);
     small.detach(placement);
   }
-  const next = wholeRound({ ...of, kept: round.kept });
+  const next = wholeRound({ ...of, overdueReservations: round.reservations });
   assert.deepEqual(
     next.starts.map((s) => s.job),
     [large],
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -146,7 +146,7 @@
       (a) => a.body.stage === "running",
     );
     const busy = [...cluster.cloud.machines.values()].find((m) => m.running.size > 0);
-    if (busy) busy.deaf = true;
+    if (busy) busy.responsesLost = true;
     for (const node of [0, 1, 2]) {
       cluster.state.refused.add(node);
       const other = (node + 1) % 3;
@@ -163,7 +163,7 @@
 );
 
 clusterTest(
-  "no task is lost when a controller is cut off from its workers alone: another goes on with its share",
+  "no task is lost when a controller is cut off from its workers alone: another goes on with its shard",
   3,
   async (cluster) => {
     cluster.workers.unreachable = new Set();
@@ -247,7 +247,7 @@
     [submission("req-7", { breeds: [] }), 400],
     [submission("req-7", { bank: "nowhere" }), 400],
     [submission("req-7", { bundle: "x".repeat(70_000) }), 400],
-    [submission("req-7", { crew: "strangers" }), 422],
+    [submission("req-7", { crew: "unregistered" }), 422],
     [submission("req-7", { vcpus: 5 }), 422],
     [submission("req-7", { breeds: ["huge"] }), 422],
     [submission("req-7", { crew: "capped", vcpus: 4.5 }), 422],
@@ -255,7 +255,7 @@
     [submission("req-7", { bank: "north", spread: true, pieces: 2 }), 422],
     [submission("req-7", { guessS: undefined }), 400],
     [submission("req-7", { loaners: null }), 400],
-    [submission("req-6", { crew: "strangers" }), 200],
+    [submission("req-6", { crew: "unregistered" }), 200],
   ];
   for (const [body, status] of statuses)
     assert.equal((await submit(body)).status, status, JSON.stringify(body).slice(0, 300));
