--- a/test/share.test.ts
+++ b/test/shard.test.ts
@@ -1,9 +1,9 @@
-/** Traces of one share: records and reports in, commands, writes and summaries out. */
+/** Traces of one shard: records and reports in, commands, writes and summaries out. */
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
-import { Share } from "../src/placement/share.js";
+import { Shard } from "../src/placement/shard.js";
 import { Machine } from "../src/workers/model.js";
-import type { Completion } from "../src/placement/share.js";
+import type { Completion } from "../src/placement/completion-log.js";
 import { keys } from "../src/state/keys.js";
 import { parseReport, type Command, type Priority, type Write } from "../src/wire/index.js";
 import { FakeView, jobSpec, silent, smallType } from "./support/records.js";
@@ -25,12 +25,14 @@
 const writeText = (w: Write): string =>
   "put" in w ? `put ${w.put} ${JSON.stringify(w.value)}` : `remove ${w.remove}`;
 
+// One case for each event that a trace may hold: read together with the traces.
+// eslint-disable-next-line max-lines-per-function
 function newScenario(): Step {
   const view = new FakeView();
   let version = 0;
   let now = 0;
   let token = 0;
-  let share: Share | null = null;
+  let shard: Shard | null = null;
   let written: Completion[] = [];
   const types = new Map([[smallType.name, smallType]]);
 
@@ -51,21 +53,22 @@
       }),
     });
     if (!parsed.ok) return [`refused: ${parsed.error}`];
-    const commands = share!.report(parsed.value, now);
+    const commands = shard!.report(parsed.value, now);
     if (commands === null) return ["ignored"];
     const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
-    share!.place(token, now, () => now, now + 1);
-    share!.placeOn(parsed.value.host, token, now);
-    for (const start of share!.startsFor(parsed.value.host))
+    shard!.place(token, now, () => now, now + 1);
+    shard!.placeOn(parsed.value.host, token, now);
+    for (const start of shard!.startsFor(parsed.value.host))
       if (!known.has(start.attempt)) commands.push(start);
     return [`token ${token}`, ...commands.map(commandText)];
   };
 
+  // eslint-disable-next-line max-lines-per-function, complexity -- one case an event
   return (event) => {
     const { verb, words } = event;
     const name = words[0] ?? "";
     const change = (made: ReturnType<FakeView["put"]>): string[] => {
-      share?.sync(view, [made], now);
+      shard?.sync(view, [made], now);
       return [];
     };
     switch (verb) {
@@ -83,13 +86,13 @@
           checkpointS: number(event, "checkpoint", 0),
           saveS: number(event, "save", 0),
         });
-        return change(view.put(keys.job(name), { spec, share: 0, acceptedAt: ++version }, version));
+        return change(view.put(keys.job(name), { spec, shard: 0, acceptedAt: ++version }, version));
       }
       case "machine": {
         const zone = event.options.get("zone") ?? "north";
         const machines = { [name]: event.options.has("booting") ? "booting" : "up" };
         const record = {
-          share: number(event, "share", 0),
+          shard: number(event, "shard", 0),
           type: "small",
           zone,
           spot: false,
@@ -102,36 +105,36 @@
         return change(view.put(keys.machines(name), "nonsense", ++version));
       case "own":
         token = ++version;
-        share = new Share(0, token, now, settings, () => types, view, silent);
-        return [`token ${token}`, `settled ${share.settled}`];
+        shard = new Shard(0, token, now, settings, () => types, view, silent);
+        return [`token ${token}`, `recovered ${shard.recovered}`];
       case "cancel":
         return change(view.remove(keys.job(name), ++version));
       case "told-cancelled":
-        share!.cancelled(name);
+        shard!.cancelled(name);
         return [];
       case "reset":
-        share!.sync(view, null, now);
+        shard!.sync(view, null, now);
         return [];
       case "returned":
         return change(view.remove(keys.machines(name), ++version));
       case "report":
         return report(event);
       case "expire":
-        share!.expire(now);
-        return [`settled ${share!.settled}`];
+        shard!.expire(now);
+        return [`recovered ${shard!.recovered}`];
       case "tick":
-        share!.drainNoticed();
+        shard!.drainNoticed();
         return [];
       case "cordon": {
         const demand = { cpus: 1, gpus: 0, memoryGb: 1, types: [], zone: "", spot: true, count: 1 };
         const priority = event.options.get("priority") ?? "normal";
-        share!.cordon(Number(name), { ...demand, priority }, now);
+        shard!.cordon(Number(name), { ...demand, priority }, now);
         return [];
       }
       case "drain":
-        return [`leaving ${share!.beginLeaving(words, true).join(" ") || "none"}`];
+        return [`leaving ${shard!.beginLeaving(words, true).join(" ") || "none"}`];
       case "write":
-        written = [...share!.finished(8), ...share!.progressed(8)];
+        written = [...shard!.finished(8), ...shard!.progressed(8)];
         return written.flatMap((c) => [
           ...c.guards.map((g) => `if ${g.key} is at ${g.version}`),
           ...c.writes.map(writeText),
@@ -143,15 +146,15 @@
         for (const completion of written) completion.lost();
         return [];
       case "demand":
-        return share!.summary(token, now).demand.map((d) => `${d.count} tasks of ${d.cpus} cpus`);
+        return shard!.summary(token, now).demand.map((d) => `${d.count} tasks of ${d.cpus} cpus`);
       case "machines":
-        return share!.summary(token, now).machines.map((m) => `${m.host} ${m.state} ${m.emptyReports}`);
+        return shard!.summary(token, now).machines.map((m) => `${m.host} ${m.state} ${m.emptyReports}`);
     }
     throw new Error(`no such event as ${verb}`);
   };
 }
 
-traceTests("share", newScenario);
+traceTests("shard", newScenario);
 
 test("a take-over of a thousand machines costs a report a look at its own machine, and each record one reading", () => {
   const MACHINES = 1000;
@@ -161,19 +164,19 @@
   // What an earlier owner has left: full machines, and more waiting than there is room for.
   for (let g = 0; g < MACHINES; g += 50) {
     const machines = Object.fromEntries(hosts.slice(g, g + 50).map((host) => [host, "up"]));
-    const record = { share: 0, type: "small", zone: "north", spot: false, since: 0, machines };
+    const record = { shard: 0, type: "small", zone: "north", spot: false, since: 0, machines };
     view.put(keys.machines(`g-${g}`), record, 1);
   }
   for (let j = 0; j < 50; j++) {
     const spec = jobSpec(`req-${j}`, { tasks: 100 });
-    view.put(keys.job(`req-${j}`), { spec, share: 0, acceptedAt: 1 }, 2);
+    view.put(keys.job(`req-${j}`), { spec, shard: 0, acceptedAt: 1 }, 2);
   }
   const reads = mock.method(view, "under");
   const token = 3;
-  const share = new Share(0, token, 0, settings, () => types, view, silent);
+  const shard = new Shard(0, token, 0, settings, () => types, view, silent);
   const readAtStart = reads.mock.callCount();
-  assert.equal(share.machines.size, MACHINES);
-  share.place(token, 0, () => 0, 1);
+  assert.equal(shard.machines.size, MACHINES);
+  shard.place(token, 0, () => 0, 1);
   const looks = mock.method(Machine.prototype, "used");
   hosts.forEach((host, i) => {
     const pieces = [0, 1, 2, 3].map((k) => ({
@@ -193,11 +196,11 @@
     };
     const parsed = parseReport({ ...wire, recallS: null, pieces });
     assert.ok(parsed.ok);
-    assert.deepEqual(share.report(parsed.value, i), []);
-    if (share.wantsRound) share.place(token, i, () => i, i + 1);
-    else share.placeOn(host, token, i);
+    assert.deepEqual(shard.report(parsed.value, i), []);
+    if (shard.wantsRound) shard.place(token, i, () => i, i + 1);
+    else shard.placeOn(host, token, i);
   });
-  assert.equal(share.settled, true);
+  assert.equal(shard.recovered, true);
   assert.ok(looks.mock.callCount() <= 2 * MACHINES, `${looks.mock.callCount()} looks at machines`);
   assert.equal(reads.mock.callCount(), readAtStart);
   assert.ok(readAtStart <= 6, `${readAtStart} readings of the records`);
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -1,25 +1,25 @@
 /** What the state service's few requests and writes a second go to. */
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
-import { Gate } from "../src/runtime/gate.js";
+import { RateLimiter } from "../src/runtime/rate-limiter.js";
 import { Freshness } from "../src/state/freshness.js";
 import { Replica } from "../src/state/replica.js";
 import { keys } from "../src/state/keys.js";
 
 const turn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
-test("under a full budget what matters most is written first, notes leave a reserve, and nobody waits past patience", async () => {
+test("under a full budget what matters most is written first, notes leave a reserve, and nobody waits past the queue timeout", async () => {
   let now = 0;
   mock.timers.enable({ apis: ["setTimeout"] });
   try {
-    const gate = new Gate(10, 10, () => now, [
+    const gate = new RateLimiter(10, 10, () => now, [
       ["ownership", 0],
       ["user", 0.1],
       ["note", 0.4],
     ]);
     const went: string[] = [];
-    const pass = (cost: number, rank: "ownership" | "user" | "note", name: string, patienceMs?: number) =>
-      gate.pass(cost, rank, patienceMs).then((ok) => went.push(ok ? name : `${name} shed`));
+    const pass = (cost: number, rank: "ownership" | "user" | "note", name: string, queueTimeoutMs?: number) =>
+      gate.pass(cost, rank, queueTimeoutMs).then((ok) => went.push(ok ? name : `${name} shed`));
     void pass(4, "note", "first note");
     void pass(4, "note", "second note");
     void pass(5, "user", "submission");
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -15,14 +15,16 @@
 const FIGURES = { reportMs: 200, leaseMs: 4000, runMs: 600 };
 
 /** How long a test waits for something that must happen before it gives up; says nothing about how fast it is. */
-const PATIENCE_MS = 60_000;
+const QUEUE_TIMEOUT_MS = 60_000;
 
 function freePort(): Promise<number> {
   const server = createServer();
   return new Promise((resolve) =>
     server.listen(0, "127.0.0.1", () => {
       const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
+      server.close(() => {
+        resolve(port);
+      });
     }),
   );
 }
@@ -96,16 +98,17 @@
     this.processes.get(name)!.kill(paused ? "SIGSTOP" : "SIGCONT");
   }
 
-  /** Which node the records name as the owner of a share. */
-  ownerOf(share: number): string {
-    return (this.state.value(`fernpond/live/shares/${share}`) as { node: string }).node;
+  /** Which node the records name as the owner of a shard. */
+  ownerOf(shard: number): string {
+    return (this.state.value(`fernpond/live/shards/${shard}`) as { node: string }).node;
   }
 
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
     for (const child of this.processes.values()) child.kill("SIGKILL");
     this.cloud.close();
     this.service.close();
     rmSync(this.folder, { recursive: true });
+    return Promise.resolve();
   }
 
   /** One request to one controller; status 0 if it did not answer. */
@@ -124,7 +127,7 @@
 
   /** Repeats a request until its answer is as wanted, as users do. */
   async until(ask: () => Promise<Answer>, wanted: (answer: Answer) => boolean): Promise<Answer> {
-    const giveUpAt = performance.now() + PATIENCE_MS;
+    const giveUpAt = performance.now() + QUEUE_TIMEOUT_MS;
     for (;;) {
       const answer = await ask();
       if (wanted(answer)) return answer;
--- a/test/support/meetings.ts
+++ b/test/support/fault-combinations.ts
@@ -1,13 +1,14 @@
-/** The meetings of troubles that the operators have listed, each brought about on purpose. */
+/* eslint-disable max-lines -- a list of rows, each of them short and independent of the others */
+/** The faultCombinations of faults that the operators have listed, each brought about on purpose. */
 import assert from "node:assert/strict";
 import type { SimulatedNode, Simulation, UserJob } from "./simulation.js";
 import type { SettingsOptions } from "./settings.js";
-import { troubles } from "./troubles.js";
+import { faults } from "./faults.js";
 
-export interface Meeting {
+export interface FaultCombination {
   name: string;
   settings?: SettingsOptions;
-  play(world: Simulation): Promise<void>;
+  play: (world: Simulation) => Promise<void>;
 }
 
 const LONG_MS = 60_000;
@@ -25,9 +26,9 @@
   return world.submit(id, { pieces: 6, guessS: LONG_MS / 1000, ...over });
 }
 
-/** The owner of the share that a team's jobs are in, and a node that is neither that nor the leader. */
-function ownerAndOther(world: Simulation, share: number): { owner: SimulatedNode; other: SimulatedNode } {
-  const owner = world.ownerOf(share)!;
+/** The owner of the shard that a team's jobs are in, and a node that is neither that nor the leader. */
+function ownerAndOther(world: Simulation, shard: number): { owner: SimulatedNode; other: SimulatedNode } {
+  const owner = world.ownerOf(shard)!;
   const other = world.nodes.find((n) => n !== owner && n !== world.leader()) ?? world.nodes[0]!;
   return { owner, other };
 }
@@ -39,7 +40,7 @@
 }
 
 /** The state service refuses the owner alone, another controller confirms, then it is out for all. */
-function gap(refusedMs: number, outageMs: number, fromPeers: boolean): Meeting {
+function gap(refusedMs: number, outageMs: number, fromPeers: boolean): FaultCombination {
   return {
     name: `cancelled while the owner alone is refused for ${refusedMs} ms, then an outage of ${outageMs} ms${fromPeers ? ", no peers" : ""}`,
     async play(world) {
@@ -59,7 +60,7 @@
   };
 }
 
-export const meetings: Meeting[] = [
+export const faultCombinations: FaultCombination[] = [
   gap(2000, 45_000, false),
   gap(2000, 45_000, true),
   gap(500, 45_000, false),
@@ -99,10 +100,10 @@
       await running(world, "req-1", { pieces: 12 });
       const { owner } = ownerAndOther(world, 0);
       const machines = [...world.cloud.machines.values()];
-      machines.forEach((m, i) => (i % 2 === 0 ? (m.mute = true) : (m.deaf = true)));
+      machines.forEach((m, i) => (i % 2 === 0 ? (m.reportsLost = true) : (m.responsesLost = true)));
       await crash(world, owner, 3000);
       await world.run(8000);
-      for (const m of machines) m.mute = m.deaf = false;
+      for (const m of machines) m.reportsLost = m.responsesLost = false;
     },
   },
   {
@@ -126,7 +127,7 @@
     async play(world) {
       const cancelled = await running(world, "req-1", { crew: "tight", pieces: 4, vcpus: 2 });
       const { owner, other } = ownerAndOther(world, 2);
-      for (const m of world.cloud.machines.values()) m.mute = true;
+      for (const m of world.cloud.machines.values()) m.reportsLost = true;
       world.crash(owner);
       await Promise.race([world.cancel(cancelled, other), world.run(5000)]);
       assert.ok(await world.runUntil(() => world.ownerOf(2) !== owner, 30_000));
@@ -134,7 +135,7 @@
       submitLong(world, "req-2", { crew: "tight", pieces: 8, vcpus: 2 });
       await world.run(9000);
       assert.ok(world.runningOf(cancelled) > 0, "what was cancelled still runs unseen");
-      for (const m of world.cloud.machines.values()) m.mute = false;
+      for (const m of world.cloud.machines.values()) m.reportsLost = false;
       world.launch(owner);
     },
   },
@@ -170,13 +171,13 @@
       world.keepsReports = false;
       const { owner } = ownerAndOther(world, 0);
       const [full] = [...world.cloud.machines.values()].sort((a, b) => b.running.size - a.running.size);
-      full!.mute = true;
+      full!.reportsLost = true;
       world.crash(owner);
       assert.ok(await world.runUntil(() => world.ownerOf(0) !== owner, 30_000));
       await world.run(1000);
       world.releaseReports();
       await world.run(8000);
-      full!.mute = false;
+      full!.reportsLost = false;
       world.launch(owner);
     },
   },
@@ -230,7 +231,7 @@
       await running(world, "req-1", { pieces: 10 });
       for (let i = 0; i < 3; i++) {
         const { owner, other } = ownerAndOther(world, 0);
-        const request = { handOver: { share: 0, to: other.name } };
+        const request = { handOver: { shard: 0, to: other.name } };
         void owner.life?.controller.answerPeer(request);
         await world.run(1500);
       }
@@ -278,10 +279,10 @@
     async play(world) {
       const job = await running(world, "req-1", { pieces: 8 });
       await running(world, "req-2", { pieces: 8 });
-      for (const m of world.cloud.machines.values()) m.mute = true;
+      for (const m of world.cloud.machines.values()) m.reportsLost = true;
       void world.cancel(job);
       await world.run(22_000);
-      for (const m of world.cloud.machines.values()) m.mute = false;
+      for (const m of world.cloud.machines.values()) m.reportsLost = false;
     },
   },
   {
@@ -327,7 +328,7 @@
   {
     name: "cancellations, questions and repeats meet the end of a job's last task",
     async play(world) {
-      const end = troubles.cancelAtEnd!(world, 60_000);
+      const end = faults.cancelAtEnd!(world, 60_000);
       for (let i = 0; i < 20; i++) {
         const job = world.submit(`req-${i}`, { pieces: 1 + (i % 3) });
         (world.workers.runOf ??= new Map()).set(job.id, 1000 + world.pick(4000));
--- a/test/support/troubles.ts
+++ b/test/support/faults.ts
@@ -1,13 +1,13 @@
-/** Troubles that meet by chance: each begins at some moment and is over after a while. */
+/** Faults that meet by chance: each begins at some moment and is over after a while. */
 import { sleep } from "../../src/runtime/wait.js";
 import { submission } from "./cluster.js";
 import type { Cuts, Simulation, SimulatedNode, UserJob } from "./simulation.js";
 
-type Trouble = (world: Simulation, forMs: number) => Promise<void>;
+type Fault = (world: Simulation, forMs: number) => Promise<void>;
 
 const anyNode = (world: Simulation): SimulatedNode => world.nodes[world.pick(world.nodes.length)]!;
 
-/** The node that leads, or owns the first share, or any: where it hurts most. */
+/** The node that leads, or owns the first shard, or any: where it hurts most. */
 const busiest = (world: Simulation): SimulatedNode =>
   [world.leader(), world.ownerOf(0), anyNode(world)][world.pick(3)] ?? anyNode(world);
 
@@ -21,7 +21,7 @@
 async function crash(world: Simulation, node: SimulatedNode, backMs: number): Promise<void> {
   world.crash(node);
   await sleep(backMs);
-  // Another trouble may have brought it back meanwhile.
+  // Another fault may have brought it back meanwhile.
   if (node.life === null) world.launch(node);
 }
 
@@ -31,7 +31,11 @@
 const someMachines = (world: Simulation) =>
   [...world.cloud.machines.values()].filter(() => world.chance() < 0.4);
 
-async function ail(world: Simulation, forMs: number, how: "deaf" | "mute" | "sick"): Promise<void> {
+async function ail(
+  world: Simulation,
+  forMs: number,
+  how: "responsesLost" | "reportsLost" | "sick",
+): Promise<void> {
   const machines = someMachines(world);
   for (const machine of machines) machine[how] = true;
   await sleep(forMs);
@@ -41,7 +45,7 @@
 const openJobs = (world: Simulation): UserJob[] =>
   [...world.jobs.values()].filter((job) => job.accepted && !job.over && !job.cancelAsked);
 
-export const troubles: Record<string, Trouble> = {
+export const faults: Record<string, Fault> = {
   crash: (world) => crash(world, busiest(world), backAfter(world)),
   async crashOfAll(world) {
     await Promise.all(world.nodes.map((node) => crash(world, node, backAfter(world))));
@@ -99,11 +103,12 @@
   async machinesHang(world, forMs) {
     await Promise.all(someMachines(world).map((machine) => machine.hang(forMs / 2)));
   },
-  machinesDeaf: (world, forMs) => ail(world, forMs, "deaf"),
-  machinesMute: (world, forMs) => ail(world, forMs, "mute"),
+  machineResponsesLost: (world, forMs) => ail(world, forMs, "responsesLost"),
+  machineReportsLost: (world, forMs) => ail(world, forMs, "reportsLost"),
   machinesSick: (world, forMs) => ail(world, forMs, "sick"),
-  async machinesDie(world) {
+  machinesDie(world) {
     for (const { host } of someMachines(world)) world.cloud.machines.get(host)?.stop();
+    return Promise.resolve();
   },
   async cancelNow(world) {
     const jobs = openJobs(world).slice(0, 4);
@@ -133,14 +138,14 @@
   },
 };
 
-/** So many troubles, which begin within a spell of simulated time and may overlap; resolves when all are over. */
-export async function meet(world: Simulation, count: number, spellMs: number): Promise<string[]> {
-  const names = Object.keys(troubles);
+/** So many faults, which begin within a spell of simulated time and may overlap; resolves when all are over. */
+export async function combineAtRandom(world: Simulation, count: number, spellMs: number): Promise<string[]> {
+  const names = Object.keys(faults);
   const chosen = Array.from({ length: count }, () => names[world.pick(names.length)]!);
   await Promise.all(
     chosen.map(async (name) => {
       await sleep(world.chance() * spellMs);
-      await troubles[name]!(world, 1000 + world.chance() * world.chance() * 60_000);
+      await faults[name]!(world, 1000 + world.chance() * world.chance() * 60_000);
     }),
   );
   return chosen;
--- a/test/support/http.ts
+++ b/test/support/http.ts
@@ -30,14 +30,14 @@
       });
   });
   return new Promise((resolve) =>
-    server.listen(0, "127.0.0.1", () =>
+    server.listen(0, "127.0.0.1", () => {
       resolve({
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         close: () => {
           server.closeAllConnections();
           server.close();
         },
-      }),
-    ),
+      });
+    }),
   );
 }
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -1,3 +1,4 @@
+/* eslint-disable max-lines -- the world is one object that the fault combinations act on; its parts are in files of their own */
 /**
  * A whole deployment in one process and in simulated time: real controllers, and the stand-ins for all that is around
  * them. Luck is seeded, so that a run repeats. What the rules forbid is noted from the workers' and the users' side.
@@ -27,9 +28,9 @@
 const POLL_MS = 5000;
 const RETRY_MS = 1000;
 
-/** Once troubles are over nobody waits so long beside a machine that fits and has room. */
+/** Once faults are over nobody waits so long beside a machine that fits and has room. */
 const NEGLECTED_MS = 90_000;
-/** Once troubles are over every question is answered within this. */
+/** Once faults are over every question is answered within this. */
 const FORGOTTEN_MS = 75_000;
 /** A start that was sent before its job was confirmed as cancelled has come within this. */
 const UNDER_WAY_MS = 500;
@@ -107,7 +108,7 @@
   answersHeldMs = 0;
   /** A zone that is cut off from everything outside it. */
   cutZone: string | null = null;
-  /** When all troubles were over: from then on nobody may be neglected. */
+  /** When all faults were over: from then on nobody may be neglected. */
   calmSince = Infinity;
   /** Whether copies of reports are kept, to arrive late. */
   keepsReports = false;
@@ -137,7 +138,14 @@
         send: (zone, node, text, timeoutMs) => this.report(zone, this.nodes[node]!, text, timeoutMs),
       },
       this.workers,
-      { started: (piece, worker) => this.started(piece, worker), completed: (piece) => this.finished(piece) },
+      {
+        started: (piece, worker) => {
+          this.started(piece, worker);
+        },
+        completed: (piece) => {
+          this.finished(piece);
+        },
+      },
     );
   }
 
@@ -234,9 +242,9 @@
     return a !== b && (a === this.cutZone || b === this.cutZone);
   }
 
-  /** The live owner of a share, as the records have it. */
-  ownerOf(share: number): SimulatedNode | undefined {
-    const record = this.store.value(`fernpond/live/shares/${share}`) as { node: string } | undefined;
+  /** The live owner of a shard, as the records have it. */
+  ownerOf(shard: number): SimulatedNode | undefined {
+    const record = this.store.value(`fernpond/live/shards/${shard}`) as { node: string } | undefined;
     return this.nodes.find((n) => n.name === record?.node);
   }
 
@@ -263,6 +271,8 @@
         if (!life.alive || !reachable()) return;
         const result = await work();
         await sleep(1);
+        // A life may have ended while the work was under way.
+        // eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
         if (!life.alive || !reachable()) return;
         clearTimeout(timer);
         resolve(result);
@@ -402,7 +412,8 @@
 
   /** What a team may use at a time. */
   private limitOf(team: string): number {
-    return this.settings.teams.find((t) => t.name === team)?.cpusMax || Infinity;
+    const limit = this.settings.teams.find((t) => t.name === team)?.cpusMax ?? 0;
+    return limit > 0 ? limit : Infinity;
   }
 
   private checkQuota(team: string): void {
@@ -488,9 +499,9 @@
     if (life === null) return { status: 0, body: {} };
     const work = (): Promise<{ status: number; body: object }> =>
       life.controller.door.users.answer({ method, path, body: copied(body) });
-    const patienceMs = method === "GET" ? USER_WAIT_MS : 5000;
+    const queueTimeoutMs = method === "GET" ? USER_WAIT_MS : 5000;
     try {
-      const answer = await this.visit(life, () => true, work, patienceMs);
+      const answer = await this.visit(life, () => true, work, queueTimeoutMs);
       return { status: answer.status, body: copied(answer.body) as Record<string, unknown> };
     } catch {
       return { status: 0, body: {} };
--- a/test/support/state-service.ts
+++ b/test/support/state-service.ts
@@ -91,7 +91,9 @@
 
   private arm(id: number, hold: Hold): void {
     clearTimeout(hold.timer);
-    hold.timer = setTimeout(() => this.end(id), hold.lifeMs);
+    hold.timer = setTimeout(() => {
+      this.end(id);
+    }, hold.lifeMs);
   }
 
   private end(id: number): void {
@@ -182,7 +184,7 @@
     addresses: doors.map((d) => d.address),
     close: () => {
       store.close();
-      for (const { close } of doors) close();
+      for (const door of doors) door.close();
     },
   };
 }
--- a/test/support/trace.ts
+++ b/test/support/trace.ts
@@ -1,5 +1,5 @@
 /**
- * Kept traces: a text of events, each followed by what came of it, indented. A run replays the events and must
+ * OwnedShard traces: a text of events, each followed by what came of it, indented. A run replays the events and must
  * come to the same text. `UPDATE_TRACES=1` writes what came out instead; the difference is then read by a person.
  */
 import assert from "node:assert/strict";
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -54,9 +54,9 @@
 export class WorkerStandIn {
   readonly running = new Set<string>();
   /** Reports still go out, and no answer arrives. */
-  deaf = false;
+  responsesLost = false;
   /** It reaches no controller. */
-  mute = false;
+  reportsLost = false;
   /** Every task fails as soon as it starts. */
   sick = false;
   /** Whether its last report was answered. */
@@ -119,7 +119,9 @@
     if (this.stopped) return;
     clearTimeout(this.leaseTimer);
     const left = sentAt + this.figures.leaseMs - this.network.clock();
-    this.leaseTimer = setTimeout(() => this.expire(), left);
+    this.leaseTimer = setTimeout(() => {
+      this.expire();
+    }, left);
     this.leaseTimer.unref();
   }
 
@@ -170,12 +172,12 @@
   private async exchange(text: string): Promise<{ status: number; body: unknown }> {
     const timeoutMs = this.figures.timeoutMs ?? this.figures.leaseMs / 2;
     const unreachable = this.figures.unreachable?.has(this.network.controllers[this.node]!);
-    if (this.mute || unreachable) {
+    if (this.reportsLost || unreachable) {
       await sleep(timeoutMs / 2);
       throw new Error("no answer");
     }
     const answer = await this.network.send(this.zone, this.node, text, timeoutMs);
-    if (this.deaf || this.hung || this.stopped) throw new Error("the answer is lost");
+    if (this.responsesLost || this.hung || this.stopped) throw new Error("the answer is lost");
     return answer;
   }
 
@@ -198,7 +200,10 @@
     this.running.add(order.piece);
     this.observer.started(order.piece, this);
     const job = order.piece.slice(0, order.piece.indexOf("/"));
-    if (this.sick || this.figures.faulty?.has(job)) return this.exit(piece, "error");
+    if (this.sick || this.figures.faulty?.has(job)) {
+      this.exit(piece, "error");
+      return;
+    }
     void this.work(piece, this.figures.runOf?.get(job) ?? this.figures.runMs);
   }
 
