Fill slow machines last; return unheard machines a lease later; four more fault combinations

- Machines on which tasks take much longer than others of their jobs are filled last (test in placement.test.ts).
- Found by the new test of a controller that is silent for over a minute: where a boot takes two seconds, every new machine was returned before its worker had got past the silent controller's time-out, and a job that came meanwhile waited for as long as other jobs ran.
A machine that has not been heard is now returned after four boot times and a lease.
- Users that ask hundreds of times a second, a guest's huge array and swarm beside urgent work, machines that come late or never: each has a test.

--- a/src/autoscaling/decide.ts
+++ b/src/autoscaling/decide.ts
@@ -74,7 +74,7 @@
 
 /** A machine that takes longer than this many usual boot times is not counted any more. */
 const OVERDUE_BOOTS = 2;
-/** After so many it is returned: it may never come. */
+/** After so many, and a lease in which its worker may still be looking for its owner, it is returned: it may never come. */
 const HOPELESS_BOOTS = 4;
 
 /** An empty machine is worth keeping for as long as getting another would take, if work came at all: half of that. */
@@ -288,7 +288,8 @@
         // Guards against returning what has just been passed on: its order is long ago, and its new owner has yet to hear it.
         if (said.state === "silent" || said.state === "joining") return !lone && said.forMs >= view.leaseMs;
         return (
-          said.state === "booting" && view.wallNow - machine.since >= HOPELESS_BOOTS * bootMs(machine, types)
+          said.state === "booting" &&
+          view.wallNow - machine.since >= HOPELESS_BOOTS * bootMs(machine, types) + view.leaseMs
         );
       })
       .map((said) => said.host);
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -284,6 +284,9 @@
   return null;
 }
 
+/** More than all else that speaks for a machine: a slow one is filled last. */
+const SLOW_PENALTY = 10;
+
 /** What an image at hand is worth beside how full a machine is: fetching one costs less than keeping a machine up. */
 const IMAGE_WORTH = 0.4;
 
@@ -294,6 +297,7 @@
 function scoreOf(job: Job, room: Room): number {
   const image = PRIORITIES.indexOf(job.spec.priority) >= URGENT ? 4 : IMAGE_WORTH;
   return (
+    (room.machine.slow ? -SLOW_PENALTY : 0) +
     (room.machine.record.spot ? 2 : 0) +
     (room.machine.images.has(job.spec.image) ? image : 0) -
     room.cpus / (1 + (room.type.cpus || 1))
--- a/src/placement/shard.ts
+++ b/src/placement/shard.ts
@@ -17,6 +17,7 @@
 import { placeOn, placeRound, queueOf, type Round, type RoundInput } from "./place.js";
 import { choosePreemptions } from "./preempt.js";
 import { ShardRecords } from "./shard-records.js";
+import { SpeedTracker } from "./speed-tracker.js";
 import { demandOf, loadOf, summarise, usageOf } from "./summary.js";
 import type { QueueEntry } from "./urgency.js";
 
@@ -28,13 +29,9 @@
 /** With more than this part of its processors free a shard has room to spare. */
 const ROOMY = 1 / 8;
 
-/** The weight of one more task in what is known of a class's estimates. */
-const LEARNING = 0.1;
-
 /** One shard's jobs, machines and placements, and all decisions about them. */
 export class Shard extends ShardRecords {
-  /** What tasks really take for each second of their estimate, by class. */
-  private readonly ratios = new Map<string, number>();
+  private readonly speeds: SpeedTracker;
   private attempts = 0;
   private resumeAt: string | null = null;
   private roomy = false;
@@ -65,6 +62,7 @@
     const { leaseMs, reportMs } = settings.workers;
     this.leaseMs = leaseMs * (1 + 2 * CLOCK_DRIFT) + reportMs / 4;
     this.tokens = new Set([termToken]);
+    this.speeds = new SpeedTracker(log);
     this.cordons = new Cordons(n, reportMs, log);
     this.failures = new FailureTracker(this.machines, this.leaseMs, log);
     this.sync(view, null, startedAt);
@@ -104,7 +102,7 @@
         this.ended(job, index, where, cause, now);
       },
       finished: (placement) => {
-        this.learn(placement, now);
+        this.speeds.finished(placement, now);
       },
     });
     if (machine.up && !wasUp) this.log.info({ host: machine.host, shard: this.n }, "machine heard");
@@ -289,7 +287,7 @@
       teams: this.settings.teams,
       objectives: this.settings.objectives,
       wallNow: Date.now(),
-      ratio: (className: string) => this.ratios.get(className) ?? 1,
+      ratio: (className: string) => this.speeds.ratio(className),
       now,
       recovered: this.recovered,
       termToken: this.termToken,
@@ -382,14 +380,4 @@
       machines: [...this.machines.values()].map((m) => summarise(m, now)),
     };
   }
-
-  /** Learns how estimates of a class compare with what its tasks really take. */
-  private learn(placement: Placement, now: number): void {
-    const { className, estimateS, checkpointS } = placement.job.spec;
-    // A task that saves may have gone on from where it was stopped, and then says little.
-    if (placement.state !== "running" || estimateS <= 0 || (checkpointS > 0 && placement.resumed)) return;
-    const seen = (now - placement.since) / 1000 / estimateS;
-    const known = this.ratios.get(className);
-    this.ratios.set(className, known === undefined ? seen : known + (seen - known) * LEARNING);
-  }
 }
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -37,6 +37,8 @@
   suspect = false;
   /** How often it was found to fail wherever it runs. */
   failures = 0;
+  /** How many of its tasks have run from start to end under this owner, and for how long together. */
+  readonly runs = { count: 0, totalMs: 0 };
   /** Tasks whose last attempt was stopped or lost. */
   readonly stopped = new Set<number>();
   /** Steady time before which nothing of this job starts. */
@@ -136,6 +138,11 @@
   /** Jobs that failed here since a task last ended well. */
   readonly failedJobs = new Set<string>();
   sick = false;
+  /** How long tasks run here beside others of their jobs: 1 is as long; and how many were compared. */
+  relativeRun = 1;
+  comparedTasks = 0;
+  /** Whether tasks take much longer here than elsewhere: it is filled last. */
+  slow = false;
   notBefore = -Infinity;
   readonly images = new Set<string>();
   /** What the last report said, for tests and for the checks of a drain. */
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -5,10 +5,11 @@
 import { uncovered } from "../src/placement/forecast.js";
 import { placeOn, placeRound, queueOf, type Round, type RoundInput } from "../src/placement/place.js";
 import { choosePreemptions } from "../src/placement/preempt.js";
+import { SpeedTracker } from "../src/placement/speed-tracker.js";
 import { orderByUrgency } from "../src/placement/urgency.js";
 import type { JobSpec } from "../src/wire/index.js";
 import { attach, Job, Machine, type Placement } from "../src/workers/model.js";
-import { jobSpec, smallType } from "./support/records.js";
+import { jobSpec, silent, smallType } from "./support/records.js";
 import { testSettings } from "./support/settings.js";
 
 const { teams } = testSettings();
@@ -287,3 +288,29 @@
     wholeRound(input([job("req-1", { priority })], [cheap, near])).starts.map((s) => s.machine.host);
   assert.deepEqual([where("urgent"), where("normal")], [["i-2"], ["i-1"]]);
 });
+
+test("a machine on which tasks take much longer than others of their jobs is filled last, until they do not", () => {
+  const speeds = new SpeedTracker(silent);
+  const [usual, slow] = [machine("i-1"), machine("i-2", true)];
+  const complete = (on: Machine, of: Job, index: number, runMs: number): void => {
+    const placement = run(on, of, index, NOW - runMs);
+    speeds.finished(placement, NOW);
+    on.detach(placement);
+    of.detach(placement);
+  };
+  const waiting = job("req-9", { cpus: 4 });
+  const chosen = (): string | undefined =>
+    wholeRound(input([waiting], [usual, slow])).starts.map((start) => start.machine.host)[0];
+  // Whatever the estimate: a job whose tasks all take twice as long says nothing of the machine.
+  const underestimated = job("req-1", { tasks: 20, estimateS: 10 });
+  for (let i = 0; i < 20; i++) complete(slow, underestimated, i, 20_000);
+  assert.deepEqual([slow.slow, chosen()], [false, "i-2"]);
+  const mixed = job("req-2", { tasks: 20, estimateS: 10 });
+  for (let i = 0; i < 8; i++) complete(usual, mixed, i, 10_000);
+  for (let i = 8; i < 16; i++) complete(slow, mixed, i, 40_000);
+  assert.deepEqual([usual.slow, slow.slow, chosen()], [false, true, "i-1"]);
+  const later = job("req-3", { tasks: 20, estimateS: 10 });
+  for (let i = 0; i < 8; i++) complete(usual, later, i, 10_000);
+  for (let i = 8; i < 16; i++) complete(slow, later, i, 10_000);
+  assert.deepEqual([slow.slow, chosen()], [false, "i-2"]);
+});
--- a/test/support/fault-combinations.ts
+++ b/test/support/fault-combinations.ts
@@ -4,6 +4,7 @@
 import type { SimulatedNode, Simulation, UserJob } from "./simulation.js";
 import type { SettingsOptions } from "./settings.js";
 import { faults } from "./faults.js";
+import { TEAMS } from "./workload.js";
 
 export interface FaultCombination {
   name: string;
@@ -60,7 +61,82 @@
   };
 }
 
+/** A node that is cut off from everything, as one that has gone silent seems to all others. */
+function silence(node: SimulatedNode, silent: boolean): void {
+  node.cut.state = node.cut.peers = node.cut.workers = silent;
+}
+
 export const faultCombinations: FaultCombination[] = [
+  {
+    name: "an owner and leader is silent for over a minute, and what comes meanwhile is served by others",
+    async play(world) {
+      const before = await running(world, "req-1", { pieces: 8 });
+      const { owner, other } = ownerAndOther(world, 0);
+      silence(owner, true);
+      assert.ok(
+        await world.runUntil(() => world.ownerOf(0) !== owner, 30_000),
+        "its shard has another owner",
+      );
+      const meanwhile = world.submit("req-2", { pieces: 4 });
+      assert.ok(await world.runUntil(() => meanwhile.done, 60_000), "a job that came meanwhile is done");
+      assert.equal((await Promise.race([world.look(before, other), world.run(2000)]))?.status, 200);
+      await world.run(30_000);
+      silence(owner, false);
+      await world.run(5000);
+    },
+  },
+  {
+    name: "users ask hundreds of times a second, and leases, submissions and the state service's limit hold",
+    async play(world) {
+      const job = await running(world, "req-1", { pieces: 12 });
+      const begun = world.store.requests;
+      const SECONDS = 20;
+      let answered = 0;
+      for (let i = 0; i < SECONDS * 10; i++) {
+        for (let k = 0; k < 40; k++)
+          void world.look(job, world.nodes[k % 3]).then(({ status }) => (answered += status === 200 ? 1 : 0));
+        if (i === 100) world.submit("req-2", { pieces: 2 });
+        await world.run(100);
+        if (i === 110)
+          assert.ok(world.jobs.get("req-2")?.accepted, "a submission is accepted within a second");
+      }
+      assert.ok(answered > SECONDS * 100, `${answered} answered`);
+      const perSecond = (world.store.requests - begun) / SECONDS;
+      assert.ok(perSecond < world.settings.state.rps, `${perSecond} requests a second`);
+      assert.equal(world.runningOf(job), 12, "no task was lost to a lease");
+    },
+  },
+  {
+    name: "a guest's huge array and a swarm of one-task jobs take what is left, and urgent work begins at once",
+    // The fourth team is in the first one's shard.
+    settings: { teams: `${TEAMS}\n[[settings.teams]]\nname = "guest"` },
+    async play(world) {
+      world.cloud.capacity = 8;
+      const runs = (world.workers.runOf ??= new Map());
+      runs.set("req-1", 3000);
+      world.submit("req-1", { crew: "guest", pieces: 3000, guessS: 3, rank: "best_effort" });
+      await world.run(15_000);
+      for (let i = 100; i < 160; i++) {
+        runs.set(`req-${i}`, 3000);
+        world.submit(`req-${i}`, { crew: "guest", pieces: 1, guessS: 3, rank: "best_effort" });
+      }
+      const urgent = world.submit("req-2", { rank: "urgent", pieces: 2, vcpus: 2 });
+      assert.ok(await world.runUntil(() => world.runningOf(urgent) === 2, 15_000), "urgent work begins");
+      const swarm = [...world.jobs.values()].filter(({ id }) => /^req-1\d\d$/.test(id));
+      assert.ok(await world.runUntil(() => swarm.every((job) => job.done), 240_000), "the swarm is served");
+    },
+  },
+  {
+    name: "half of the machines come up late or never while a queue waits, and all of it runs soon",
+    async play(world) {
+      world.workers.late = 0.5;
+      for (let i = 0; i < 10; i++) submitLong(world, `req-${i}`, { pieces: 8 });
+      const all = [...world.jobs.values()];
+      const running = (): number => all.reduce((sum, job) => sum + world.runningOf(job), 0);
+      assert.ok(await world.runUntil(() => running() === 80, 45_000), `${running()} of 80 tasks run`);
+      world.workers.late = 0;
+    },
+  },
   gap(2000, 45_000, false),
   gap(2000, 45_000, true),
   gap(500, 45_000, false),
--- a/test/support/state-service.ts
+++ b/test/support/state-service.ts
@@ -25,6 +25,8 @@
 export class StateStore {
   /** Nodes that get 503 while others are served; their open watches wait. */
   readonly refused = new Set<number>();
+  /** How many requests have come, of all kinds. */
+  requests = 0;
   private outage = false;
   private epoch = 0;
   private nextHold = 1;
@@ -60,6 +62,7 @@
   }
 
   handle(node: number, method: string, url: URL, body: unknown): Reply | Promise<Reply> {
+    this.requests++;
     const refused = (): boolean => this.down || this.refused.has(node);
     if (refused()) return { status: 503, body: { error: "trouble" } };
     const { pathname } = url;
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -36,6 +36,8 @@
   /** Jobs whose tasks fail wherever they run. */
   faulty?: Set<string>;
   bootMs?: number;
+  /** The part of the machines that take several times as long to boot; half of these never come up. */
+  late?: number;
   /** How long an answer is waited for; how soon the next node is tried. */
   timeoutMs?: number;
   retryMs?: number;
@@ -51,6 +53,10 @@
   completed(piece: string): void;
 }
 
+/** How many usual boot times a late machine takes. */
+const LATE_BOOTS = 5;
+
+/** One machine's worker. */
 export class WorkerStandIn {
   readonly running = new Set<string>();
   /** Reports still go out, and no answer arrives. */
@@ -97,7 +103,12 @@
   }
 
   private async run(): Promise<void> {
-    if (this.figures.bootMs !== undefined) await sleep(this.figures.bootMs);
+    const { bootMs, late = 0 } = this.figures;
+    const luck = late > 0 ? Math.random() : 1;
+    // It is charged for and never speaks.
+    if (luck < late / 2) return;
+    if (bootMs !== undefined) await sleep(luck < late ? bootMs * LATE_BOOTS : bootMs);
+    if (this.stopped) return;
     this.renew(this.network.clock());
     while (!this.stopped) {
       const sentAt = this.network.clock();
