--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -108,7 +108,6 @@
     // It is charged for and never speaks.
     if (luck < late / 2) return;
     if (bootMs !== undefined) await sleep(luck < late ? bootMs * LATE_BOOTS : bootMs);
-    if (this.stopped) return;
     this.renew(this.network.clock());
     while (!this.stopped) {
       const sentAt = this.network.clock();
