--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -184,7 +184,7 @@
 );
 
 clusterTest(
-  "a controller that stands still for longer than its hold, and wakes with full buffers, acts on none of its old rights",
+  "a controller that stands still for longer than its membership lease, and wakes with full buffers, acts on none of its old rights",
   3,
   async (cluster) => {
     // Longer than the stall, so that tasks of the old owner still run when the new one decides.
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -17,10 +17,17 @@
 /** How long a test waits for something that must happen before it gives up; says nothing about how fast it is. */
 const QUEUE_TIMEOUT_MS = 60_000;
 
+/**
+ * The loopback address of this test process's controllers. A controller that is killed gives up its port until it is
+ * launched again; on an address of their own no stand-in, of this or another test, can be given that port meanwhile and
+ * answer in its place.
+ */
+const HOST = `127.${1 + ((process.pid >> 16) & 127)}.${(process.pid >> 8) & 255}.${1 + (process.pid % 254)}`;
+
 function freePort(): Promise<number> {
   const server = createServer();
   return new Promise((resolve) =>
-    server.listen(0, "127.0.0.1", () => {
+    server.listen(0, HOST, () => {
       const { port } = server.address() as AddressInfo;
       server.close(() => {
         resolve(port);
@@ -54,7 +61,7 @@
     const nodes = [];
     for (let i = 0; i < count; i++) {
       const [port, back] = [await freePort(), await freePort()];
-      nodes.push({ node: `node-${i}`, address: `127.0.0.1:${port}`, back: `127.0.0.1:${back}` });
+      nodes.push({ node: `node-${i}`, address: `${HOST}:${port}`, back: `${HOST}:${back}` });
     }
     const workers = { ...FIGURES };
     const cluster = new Cluster(await stateService(count), await cloud(nodes, workers), nodes, workers);
