--- a/src/autoscaling/autoscaler.ts
+++ b/src/autoscaling/autoscaler.ts
@@ -81,6 +81,7 @@
   private lastPass = -Infinity;
   private lastTypes = -Infinity;
   private lastList = -Infinity;
+  private lastTransfer = -Infinity;
   private prices: MachineType[] | null = null;
 
   constructor(
@@ -158,7 +159,7 @@
     if (await this.refreshTypes(guard, now)) return;
     const types = this.prices ?? this.recordedTypes();
     if (types.length === 0) return;
-    const { order, move, cordon, drains } = decideScaling({
+    const { order, move, cordon, transfer, drains } = decideScaling({
       types,
       summaries: Array.from({ length: this.settings.controllers }, (_, n) => this.summaries.latest(n, now)),
       machines: this.machines(),
@@ -169,6 +170,11 @@
     });
     if (move !== null) await this.move(move);
     if (cordon !== null) await this.hooks.askOwner(cordon.shard, { cordon }).catch(() => undefined);
+    if (transfer !== null && now - this.lastTransfer >= 2 * this.operator.passSpacingMs) {
+      // The summary of a shard shows what has passed to it only after a while.
+      this.lastTransfer = now;
+      await this.hooks.askOwner(transfer.shard, { transfer }).catch(() => undefined);
+    }
     await Promise.all(drains.map((drain) => this.drain(drain)));
     // One call to the cloud a pass: what is under way first, then orders, then returns, then a look at the list.
     if (await this.resumeOrders(guard)) return;
--- a/src/autoscaling/decide.ts
+++ b/src/autoscaling/decide.ts
@@ -8,7 +8,7 @@
   type Summary,
 } from "../peers/messages.js";
 import { MAX_RENTAL, PRIORITIES, type MachineType, type Priority } from "../wire/index.js";
-import { slotsOn } from "../placement/capacity.js";
+import { fits, slotsOn } from "../placement/capacity.js";
 import type { MachineRecord } from "../workers/records.js";
 
 /** A rented machine as the records have it. */
@@ -62,12 +62,21 @@
   demand: Demand;
 }
 
+/** A request to pass a job that has not begun to another shard. */
+export interface Transfer {
+  shard: number;
+  to: number;
+  job: string;
+}
+
 /** What one pass decided. */
 export interface ScalingActions {
   order: Order | null;
   move: Move | null;
   /** A shard that is to let a machine run empty for one that has none and can rent none. */
   cordon: Cordon | null;
+  /** A job that is to pass to a shard with room for it. */
+  transfer: Transfer | null;
   /** What is selected for removal, of each shard that has any: asking its owner takes no call to the cloud. */
   drains: Leave[];
 }
@@ -87,7 +96,13 @@
 
 /** One reconciliation pass: compares what waits with what is rented and coming. */
 export function decideScaling(view: ScalingView): ScalingActions {
-  const actions: ScalingActions = { order: null, move: null, cordon: null, drains: selectForRemoval(view) };
+  const actions: ScalingActions = {
+    order: null,
+    move: null,
+    cordon: null,
+    transfer: chooseTransfer(view.summaries),
+    drains: selectForRemoval(view),
+  };
   const types = new Map(view.types.map((t) => [t.name, t]));
   const room = view.caps.maxMachines - view.machines.length;
   const short = shortages(view, types);
@@ -268,6 +283,26 @@
   return best;
 }
 
+/** The job that has waited longest of those for which another shard has room that nothing of its own takes. */
+export function chooseTransfer(summaries: (Summary | undefined)[]): Transfer | null {
+  let longest = -Infinity;
+  let chosen: Transfer | null = null;
+  for (const [shard, summary] of summaries.entries())
+    for (const { job, task, waitedMs } of summary?.recovered ? summary.waiting : []) {
+      if (waitedMs <= longest) continue;
+      const to = summaries.findIndex(
+        (other, n) =>
+          n !== shard &&
+          other?.recovered &&
+          other.rooms.some((room) => suits(task, room) && fits(room, task)),
+      );
+      if (to < 0) continue;
+      longest = waitedMs;
+      chosen = { shard, to, job };
+    }
+  return chosen;
+}
+
 /** Machines selected for removal: empty over the idle wait, or lost for good. */
 function selectForRemoval(view: ScalingView): Leave[] {
   const drains: Leave[] = [];
--- a/src/autoscaling/demand-record.ts
+++ b/src/autoscaling/demand-record.ts
@@ -48,5 +48,5 @@
   }));
   const { token, recovered, demand } = record;
   const load = { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 };
-  return { shard, token, recovered, demand, machines, load };
+  return { shard, token, recovered, demand, machines, load, rooms: [], waiting: [] };
 }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -24,15 +24,24 @@
   deadlineS: z.number().nullable(),
 }) satisfies z.ZodType<JobSpec>;
 
-/** The shard is chosen once, when the job is accepted. `acceptedAt` is time of day: it orders jobs and dates deadlines, and nothing safe hangs on it. */
+/**
+ * The shard is chosen when the job is accepted, and may change once before its first task starts. `mostAtOnce` bounds
+ * how many tasks may run at a time where another shard keeps the limit of the job's team. `acceptedAt` is time of day: it
+ * orders jobs and dates deadlines, and nothing safe hangs on it.
+ */
 const jobRecordSchema = z.object({
   spec: specSchema,
   shard: z.int().nonnegative(),
   acceptedAt: z.number(),
+  mostAtOnce: z.int().positive().nullish(),
 });
 /** A live job as the state service holds it. */
 export type JobRecord = z.infer<typeof jobRecordSchema>;
 
+const quotaReservationSchema = z.object({ team: z.string(), cpus: z.number(), gpus: z.number() });
+/** What a job that has passed to another shard may use of its team's limit, in all. */
+export type QuotaReservation = z.infer<typeof quotaReservationSchema>;
+
 const endedSchema = z.object({ stage: z.enum(["done", "cancelled"]), done: z.number() });
 /** A job that is over; kept for good. */
 export type EndedRecord = z.infer<typeof endedSchema>;
@@ -42,6 +51,8 @@
 const progressSchema = z.object({ jobs: z.record(z.string(), z.string()) });
 
 export const readJob = (value: unknown): JobRecord | null => jobRecordSchema.safeParse(value).data ?? null;
+export const readQuotaReservation = (value: unknown): QuotaReservation | null =>
+  quotaReservationSchema.safeParse(value).data ?? null;
 export const readEnded = (value: unknown): EndedRecord | null => endedSchema.safeParse(value).data ?? null;
 export const readProgress = (value: unknown): Record<string, string> | null =>
   progressSchema.safeParse(value).data?.jobs ?? null;
--- a/src/peer-requests.ts
+++ b/src/peer-requests.ts
@@ -50,6 +50,10 @@
     const { shard, job } = request.cancelled;
     ownerOf(shard)?.tell({ kind: "cancelled", job });
   }
+  if ("transfer" in request) {
+    const { shard, to, job } = request.transfer;
+    ownerOf(shard)?.tell({ kind: "transfer", to, job });
+  }
   if ("cordon" in request) {
     const { shard, to, demand } = request.cordon;
     ownerOf(shard)?.tell({ kind: "cordon", to, demand });
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -24,6 +24,7 @@
     Ping ping = 14;
     Cordon cordon = 15;
     Cancelled cancelled = 16;
+    Transfer transfer = 17;
   }
 }
 
@@ -36,8 +37,23 @@
   repeated Demand demand = 4;
   repeated Machine machines = 5;
   Load load = 6;
+  repeated FreeRoom rooms = 7;
+  repeated WaitingJob waiting = 8;
 }
 
+// The largest room of a market that nothing of its own shard takes.
+message FreeRoom {
+  string type = 1;
+  string zone = 2;
+  bool spot = 3;
+  double cpus = 4;
+  double gpus = 5;
+  double memory_gb = 6;
+}
+
+// A job that has not begun and has waited for long: it may pass to a shard that has room for it.
+message WaitingJob { string job = 1; Demand task = 2; double waited_ms = 3; }
+
 // Machines that are up, those of them without a task, and processors: all, used, waited for.
 message Load { uint32 up = 1; uint32 empty = 2; double cpus = 3; double used = 4; double waiting = 5; }
 
@@ -75,6 +91,8 @@
 message Give { uint32 shard = 1; uint32 to = 2; repeated string hosts = 3; }
 // The leader asks an owner to let one machine that suits run empty, for a shard that has none and can rent none.
 message Cordon { uint32 shard = 1; uint32 to = 2; Demand demand = 3; }
+// The leader asks an owner to pass a job that has not begun to a shard that has room for it.
+message Transfer { uint32 shard = 1; uint32 to = 2; string job = 3; }
 // The leader asks an owner to pass the whole shard on to another controller.
 message HandOver { uint32 shard = 1; string to = 2; }
 // A worker that follows an owner's token came to another controller: it may not reach its owner any more.
@@ -149,12 +167,30 @@
   load: ShardLoad;
 }
 
+/** Free room on one machine, and what kind of machine it is on. */
+export interface FreeRoom extends Place {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** A job that has not begun and has waited for long, and what one task of it needs. */
+export interface WaitingJob {
+  job: string;
+  task: Demand;
+  waitedMs: number;
+}
+
 /** What an owner tells the leader once a second. */
 export interface Summary extends ShardLoadReport {
   token: number;
   recovered: boolean;
   demand: Demand[];
   machines: MachineSummary[];
+  /** The largest room of each market that nothing of this shard takes. */
+  rooms: FreeRoom[];
+  /** Jobs that may pass to a shard with room for them, the longest waiting first. */
+  waiting: WaitingJob[];
 }
 
 /** A request between controllers. */
@@ -164,6 +200,7 @@
   | { drain: { shard: number; hosts: string[] } }
   | { give: { shard: number; to: number; hosts: string[] } }
   | { cordon: { shard: number; to: number; demand: Demand } }
+  | { transfer: { shard: number; to: number; job: string } }
   | { cancelled: { shard: number; job: string } }
   | { handOver: { shard: number; to: string } }
   | { misroutedHeartbeat: { shard: number; cameTo: string } }
--- a/src/placement/capacity.ts
+++ b/src/placement/capacity.ts
@@ -51,9 +51,13 @@
   zones.set(record.zone, (zones.get(record.zone) ?? 0) + 1);
 }
 
-/** What each team uses, every placement counted that is not proven gone. */
-export function teamUsage(jobs: Iterable<Job>): Map<string, Usage> {
+/** What each team uses, every placement counted that is not proven gone, and what is reserved in other shards. */
+export function teamUsage(
+  jobs: Iterable<Job>,
+  reserved: ReadonlyMap<string, Usage> = new Map(),
+): Map<string, Usage> {
   const usage = new Map<string, Usage>();
+  for (const [team, { cpus, gpus }] of reserved) usage.set(team, { cpus, gpus });
   for (const job of jobs) {
     const sum = usage.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
     sum.cpus += job.spec.cpus * job.active.size;
@@ -107,7 +111,12 @@
  * waits for all of them. A job accepted in this term cannot.
  */
 export function startable(job: Job, term: Term): boolean {
-  return !job.closing && job.notBefore <= term.now && (term.recovered || job.version > term.termToken);
+  return (
+    !job.closing &&
+    !job.transferring &&
+    job.notBefore <= term.now &&
+    (term.recovered || job.version > term.termToken)
+  );
 }
 
 /** Whether one more task stays within a team's limit. */
--- a/src/placement/completion-log.ts
+++ b/src/placement/completion-log.ts
@@ -62,11 +62,11 @@
     this.progress.load(page, { [id]: bits });
   }
 
-  /** Jobs whose last task has completed, to be written within so many operations. */
-  finished(room: number): Completion[] {
+  /** Jobs whose last task has completed and that may be told done, to be written within so many operations. */
+  finished(room: number, mayEnd: (job: Job) => boolean): Completion[] {
     const out: Completion[] = [];
     for (const job of this.dirty.keys()) {
-      if (job.done.count !== job.spec.tasks) continue;
+      if (job.done.count !== job.spec.tasks || !mayEnd(job)) continue;
       const completion = this.finish(job);
       if (completion.writes.length > room) break;
       room -= completion.writes.length;
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -38,6 +38,8 @@
 export interface RoundInput extends Plan, Term {
   jobs: Iterable<Job>;
   machines: Machine[];
+  /** What is reserved of teams' limits for jobs that have passed to other shards. */
+  reservedQuota: ReadonlyMap<string, Usage>;
   /** The job at which the last round ran out of time. */
   resumeAt: string | null;
   /** Machines held back for a job that has waited too long, and the job that each waits for. */
@@ -84,7 +86,7 @@
 function makeOffer(input: RoundInput, rooms: Room[]): Offer {
   return {
     input,
-    usage: teamUsage(input.jobs),
+    usage: teamUsage(input.jobs, input.reservedQuota),
     unseen: unseenUsage(input.machines, input.types),
     rooms,
     starts: [],
@@ -261,7 +263,11 @@
   const zones = oneZone || spread ? zonesOf(job) : null;
   const taken = new Set<number>();
   for (const { room } of open) {
-    while (fits(room, job.spec) && underLimit(team, used, offer.unseen, job.spec)) {
+    const mayTakeMore = (): boolean =>
+      taken.size < job.startableTasks &&
+      fits(room, job.spec) &&
+      underLimit(team, used, offer.unseen, job.spec);
+    while (mayTakeMore()) {
       if (zones !== null && !zoneAllowed(job, room.machine.record.zone, zones)) break;
       const index = nextIndex(job, taken);
       if (index === null) return;
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -57,7 +57,7 @@
   const jobs = [...input.jobs];
   const waiting = jobs.filter((job) => job.waiting > 0 && startable(job, input) && cannotWait(job, input));
   if (waiting.length === 0) return chosen;
-  const usage = teamUsage(jobs);
+  const usage = teamUsage(jobs, input.reservedQuota);
   const unseen = unseenUsage(input.machines, input.types);
   const rooms = roomsAfterEnds(input, usage);
   const givesWay = rememberedByVictim((victim) => mayGiveWay(victim, input));
@@ -76,7 +76,7 @@
     const zones = zonesOf(job);
     const used = usage.get(job.spec.team)!;
     const search = { job, team, used, unseen, zones, place, givesWay, now: input.now };
-    for (let left = job.waiting; left > 0; left--) {
+    for (let left = job.startableTasks; left > 0; left--) {
       if (clock() > deadline) return chosen;
       const plan = makeRoom(search, open);
       if (plan === null) break;
--- a/src/placement/shard-owner.ts
+++ b/src/placement/shard-owner.ts
@@ -7,9 +7,11 @@
 import { keys } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 import { jittered, sleep } from "../runtime/wait.js";
+import type { JobRecord } from "../jobs/records.js";
+import type { Job } from "../workers/model.js";
 import type { Fleet, FleetChange } from "../workers/fleet.js";
 import { readGroup } from "../workers/records.js";
-import { commandsToWire, type Change, type WorkerReport } from "../wire/index.js";
+import { commandsToWire, type Change, type Guard, type WorkerReport, type Write } from "../wire/index.js";
 import type { Completion } from "./completion-log.js";
 import type { Shard } from "./shard.js";
 
@@ -33,6 +35,7 @@
     }
   | { kind: "drain"; hosts: string[]; reply: (hosts: string[]) => void }
   | { kind: "cancelled"; job: string }
+  | { kind: "transfer"; job: string; to: number }
   | { kind: "cordon"; to: number; demand: Demand }
   | { kind: "give"; to: number; hosts: string[]; reply: (hosts: string[]) => void };
 
@@ -127,6 +130,9 @@
       case "cancelled":
         this.shard.cancelled(message.job);
         return;
+      case "transfer":
+        void this.transfer(message.job, message.to);
+        return;
       case "cordon":
         this.shard.cordon(message.to, message.demand, this.clock());
         return;
@@ -351,4 +357,51 @@
       }
     }
   }
+
+  /**
+   * Passes a job that has not begun to another shard, in one transaction that both shards' tokens guard. Until its
+   * outcome is known nothing of the job starts here, and what it may use elsewhere counts against its team's limit.
+   */
+  private async transfer(id: string, to: number): Promise<void> {
+    const token = this.currentToken();
+    const theirs = this.view.get(keys.shard(to));
+    if (token === null || theirs === undefined) return;
+    const prepared = this.shard.beginTransfer(id, this.clock());
+    if (prepared === null) return;
+    const { job, terms } = prepared;
+    const record: JobRecord = { spec: job.spec, shard: to, acceptedAt: job.acceptedAt };
+    if (terms.reservation !== null) record.mostAtOnce = terms.mostAtOnce;
+    const writes: Write[] = [{ put: keys.job(id), value: record }];
+    if (terms.reservation !== null)
+      writes.push({ put: keys.quota(this.shard.n, id), value: terms.reservation });
+    const guards = [
+      { key: keys.job(id), version: job.version },
+      { key: keys.shard(this.shard.n), version: token },
+      { key: keys.shard(to), version: theirs.version },
+    ];
+    for (let passed = await this.tryTransfer(job, guards, writes); !this.retired;) {
+      if (passed === false) this.shard.transferFailed(job);
+      if (passed === true) this.log.info({ job: id, shard: this.shard.n, to }, "job passed on");
+      if (passed !== null) return;
+      await sleep(jittered(this.figures.spacingMs));
+      passed = await this.tryTransfer(job, guards, writes);
+    }
+  }
+
+  /**
+   * Whether the job's record has changed under the transaction or another's; null where that is not known. The feed
+   * shows what a changed record says. False is final: what guards the transaction never comes back, so that an earlier
+   * try that is carried out late fails as well.
+   */
+  private async tryTransfer(job: Job, guards: Guard[], writes: Write[]): Promise<boolean | null> {
+    try {
+      const result = await this.state.commit(guards, writes, "note");
+      if (result.ok) return true;
+      const now = await this.state.read(keys.job(job.spec.id));
+      return now?.version !== job.version;
+    } catch (err) {
+      this.log.debug({ err: (err as Error).message }, "job not known to have passed on");
+      return null;
+    }
+  }
 }
--- a/src/placement/shard-records.ts
+++ b/src/placement/shard-records.ts
@@ -1,6 +1,6 @@
 /** The jobs and machines of one shard, followed from the records. */
 import { LRUCache } from "lru-cache";
-import { readDone, readJob, readProgress } from "../jobs/records.js";
+import { readDone, readEnded, readJob, readProgress, readQuotaReservation } from "../jobs/records.js";
 import type { Logger } from "../runtime/log.js";
 import { keys, prefixes } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
@@ -9,6 +9,7 @@
 import { machineOf, readGroup, type MachineRecord } from "../workers/records.js";
 import { releaseAll } from "../workers/reports.js";
 import { CompletionLog } from "./completion-log.js";
+import { QuotaReservations } from "./quota-reservations.js";
 
 /** How many machines that have left are remembered, so that late copies of their reports are known for what they are. */
 const REMEMBERED_MACHINES = 1000;
@@ -25,6 +26,8 @@
   /** Which machines of which group's record are here. */
   private readonly groups = new Map<string, Set<string>>();
   protected readonly completions: CompletionLog;
+  /** What is kept of teams' limits for jobs that have passed to other shards. */
+  protected readonly reservations: QuotaReservations;
   /** How new the last report was of machines that have left. */
   private readonly departed = new LRUCache<string, { session: number; seq: number }>({
     max: REMEMBERED_MACHINES,
@@ -35,8 +38,10 @@
   protected constructor(
     readonly n: number,
     valueBytes: number,
+    cancelMs: number,
     protected readonly log: Logger,
   ) {
+    this.reservations = new QuotaReservations(cancelMs);
     this.completions = new CompletionLog(n, valueBytes, log, (id) => {
       this.dropJob(id);
     });
@@ -53,6 +58,7 @@
         ...view.under(prefixes.jobs),
         ...view.under(prefixes.done),
         ...view.under(prefixes.machines),
+        ...view.under(prefixes.quota(this.n)),
       ];
       for (const change of changes) if (change.key.startsWith(prefixes.machines)) this.syncGroup(change, now);
       for (const key of [...this.groups.keys()])
@@ -60,9 +66,13 @@
     }
     for (const change of changes) {
       if (change.key.startsWith(prefixes.jobs)) this.syncJob(change);
+      else if (change.key.startsWith(prefixes.quota(this.n))) this.syncQuota(change);
+      else if (change.key.startsWith(prefixes.ended)) this.syncEnded(change);
       else if (change.key.startsWith(prefixes.machines)) this.syncGroup(change, now);
       else if (change.key.startsWith(prefixes.done)) this.syncDone(change, view);
     }
+    for (const id of this.reservations.jobs)
+      if (view.get(keys.job(id)) === undefined) this.reservations.ended(id, now);
   }
 
   /** A cancellation is durable, whether or not the feed has shown it yet. */
@@ -79,13 +89,18 @@
       return;
     }
     // Guards against starting a cancelled job again from records read before the cancellation.
-    if (this.jobs.has(id) || this.cancellations.has(id)) return;
+    if (this.jobs.get(id)?.version === change.version || this.cancellations.has(id)) return;
     const record = readJob(change.value);
     if (record === null) {
       this.log.error({ key: change.key }, "unreadable job record");
       return;
     }
-    if (record.shard !== this.n) return;
+    // It may have passed to another shard.
+    if (record.shard !== this.n) {
+      this.dropJob(id);
+      return;
+    }
+    if (this.jobs.has(id)) return;
     const job = Job.fromRecord(record, change.version);
     this.jobs.set(id, job);
     this.fresh.push(job);
@@ -104,6 +119,19 @@
     else if (this.n === 0 && !view.get(keys.job(of))) this.completions.removeLater(change.key);
   }
 
+  private syncQuota({ key, value }: Change): void {
+    const reservation = readQuotaReservation(value);
+    if (reservation !== null) this.reservations.hold(key.slice(prefixes.quota(this.n).length), reservation);
+  }
+
+  /** A job is told done by another shard only once none of its tasks runs: nothing need be kept for it any more. */
+  private syncEnded({ key, value }: Change): void {
+    const id = key.slice(prefixes.ended.length);
+    if (!this.reservations.has(id) || readEnded(value)?.stage !== "done") return;
+    this.reservations.release(id);
+    this.completions.removeLater(keys.quota(this.n, id));
+  }
+
   /** What this owner wrote itself comes back as well, and changes nothing. */
   private syncProgress(page: number, jobs: Record<string, string> | null): void {
     if (jobs === null) return;
--- a/src/placement/shard.ts
+++ b/src/placement/shard.ts
@@ -6,6 +6,7 @@
 import type { Demand, Summary } from "../peers/messages.js";
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
+import { keys } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 import { CLOCK_DRIFT, type Command, type MachineType, type WorkerReport } from "../wire/index.js";
 import { attach, type Job, type Machine, type Placement } from "../workers/model.js";
@@ -18,6 +19,7 @@
 import { choosePreemptions } from "./preempt.js";
 import { ShardRecords } from "./shard-records.js";
 import { SpeedTracker } from "./speed-tracker.js";
+import { freeRooms, mayPass, termsOf, waitingJobs, type TransferTerms } from "./transfers.js";
 import { demandOf, loadOf, summarise, usageOf } from "./summary.js";
 import type { QueueEntry } from "./urgency.js";
 
@@ -58,7 +60,7 @@
     view: ReplicaView,
     log: Logger,
   ) {
-    super(n, settings.state.valueBytes, log);
+    super(n, settings.state.valueBytes, settings.workers.cancelMs, log);
     const { leaseMs, reportMs } = settings.workers;
     this.leaseMs = leaseMs * (1 + 2 * CLOCK_DRIFT) + reportMs / 4;
     this.tokens = new Set([termToken]);
@@ -151,6 +153,7 @@
       this.log.info({ host: machine.host, shard: this.n, lost }, "machine silent, its lease is over");
     }
     this.cordons.expire(now);
+    for (const id of this.reservations.expire(now)) this.completions.removeLater(keys.quota(this.n, id));
     this.failures.forgive(this.jobs.values(), now);
     this.sweepJobs();
   }
@@ -291,6 +294,7 @@
       now,
       recovered: this.recovered,
       termToken: this.termToken,
+      reservedQuota: this.reservations.usage,
       resumeAt: this.resumeAt,
       overdueReservations: this.overdueReservations,
       preemptionReservations: this.openPreemptionReservations(now),
@@ -317,7 +321,15 @@
 
   /** Jobs whose last task has completed, to be written within so many operations. */
   finished(room: number): Completion[] {
-    return this.completions.finished(room);
+    return this.completions.finished(room, (job) => this.mayEnd(job));
+  }
+
+  /**
+   * Guards the limit that another shard keeps for a job: that shard counts the job until it is told done, so that by then
+   * no attempt of it may run any more, not even one whose task another attempt has completed.
+   */
+  private mayEnd(job: Job): boolean {
+    return job.mostAtOnce === Infinity || (job.active.size === 0 && this.recovered);
   }
 
   /** Completed tasks of jobs that go on, to be written within so many operations. */
@@ -351,6 +363,24 @@
     this.cordons.cordon(to, demand, this.roundInput(now));
   }
 
+  /** Prepares a job's passing to another shard: nothing of it starts from now on. Null if it may not pass. */
+  beginTransfer(id: string, now: number): { job: Job; terms: TransferTerms } | null {
+    const job = this.jobs.get(id);
+    const input = this.roundInput(now);
+    if (job === undefined || !mayPass(job, input)) return null;
+    const terms = termsOf(job, input);
+    if (terms === null) return null;
+    job.transferring = true;
+    if (terms.reservation !== null) this.reservations.hold(id, terms.reservation);
+    return { job, terms };
+  }
+
+  /** The job has surely not passed on. */
+  transferFailed(job: Job): void {
+    job.transferring = false;
+    this.reservations.release(job.spec.id);
+  }
+
   stayAfterAll(hosts: string[]): void {
     for (const host of hosts) {
       const machine = this.machines.get(host);
@@ -378,6 +408,8 @@
       load: loadOf(input),
       demand: demandOf(input),
       machines: [...this.machines.values()].map((m) => summarise(m, now)),
+      rooms: freeRooms(input),
+      waiting: waitingJobs(input),
     };
   }
 }
--- a/src/placement/summary.ts
+++ b/src/placement/summary.ts
@@ -34,7 +34,7 @@
 
 /** Tasks that need machines yet to be rented, alike ones together; limits of teams respected. */
 export function demandOf(input: RoundInput): Demand[] {
-  const usage = teamUsage(input.jobs);
+  const usage = teamUsage(input.jobs, input.reservedQuota);
   const unseen = unseenUsage(input.machines, input.types);
   const waiting = new Map<Job, number>();
   const open = [...input.jobs].filter((j) => j.waiting > 0 && startable(j, input));
@@ -42,7 +42,7 @@
     const { spec } = job;
     const team = input.teams.find((t) => t.name === spec.team);
     const used = usage.get(spec.team)!;
-    const most = job.suspect ? worthTrying(job, input) : job.waiting;
+    const most = job.suspect ? worthTrying(job, input) : job.startableTasks;
     let count = 0;
     for (; count < most && underLimit(team, used, unseen, spec); count++) {
       used.cpus += spec.cpus;
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -20,6 +20,8 @@
   machines: (name: string) => `${LIVE}machines/${name}`,
   /** Changes with each registration of machines that no order brought: of two such writes, one fails. */
   registration: `${LIVE}registration`,
+  /** What a shard keeps free of a team's limit for a job that has passed to another shard. */
+  quota: (shard: number, job: string) => `${LIVE}quota/${shard}/${job}`,
   order: (name: string) => `${LIVE}orders/${name}`,
   /** What a shard is short of, where its owner cannot tell the leader. */
   demand: (shard: number) => `${LIVE}demand/${shard}`,
@@ -34,6 +36,7 @@
   done: `${LIVE}done/`,
   machines: `${LIVE}machines/`,
   orders: `${LIVE}orders/`,
+  quota: (shard: number) => `${LIVE}quota/${shard}/`,
   types: `${LIVE}types/`,
   ended: `${ROOT}ended/`,
 };
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -41,6 +41,8 @@
   readonly runs = { count: 0, totalMs: 0 };
   /** Tasks whose last attempt was stopped or lost. */
   readonly stopped = new Set<number>();
+  /** Being passed to another shard: nothing of it starts meanwhile. */
+  transferring = false;
   /** Steady time before which nothing of this job starts. */
   notBefore = -Infinity;
   private cursor = 0;
@@ -50,19 +52,26 @@
     readonly acceptedAt: number,
     /** The version of the job's record: tells jobs of this owner's term from older ones. */
     readonly version: number,
+    /** How many of its tasks may run at a time, where another shard keeps its team's limit. */
+    readonly mostAtOnce = Infinity,
   ) {
     this.done = new Bits(spec.tasks);
     this.durable = new Bits(spec.tasks);
   }
 
   static fromRecord(record: JobRecord, version: number): Job {
-    return new Job(record.spec, record.acceptedAt, version);
+    return new Job(record.spec, record.acceptedAt, version, record.mostAtOnce ?? Infinity);
   }
 
   get waiting(): number {
     return this.closing ? 0 : this.spec.tasks - this.done.count - this.activeUndone;
   }
 
+  /** How many of its tasks may start now, as far as the job itself goes. */
+  get startableTasks(): number {
+    return Math.min(this.waiting, this.mostAtOnce - this.active.size);
+  }
+
   /** Whether any of its tasks has ever been placed, as far as is known. */
   get begun(): boolean {
     return this.done.count > 0 || this.active.size > 0 || this.stopped.size > 0;
--- a/test/autoscaling.test.ts
+++ b/test/autoscaling.test.ts
@@ -29,6 +29,8 @@
       load: { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 },
       demand: [],
       machines: [],
+      rooms: [],
+      waiting: [],
     });
 
   // eslint-disable-next-line max-lines-per-function -- one case an event
@@ -143,7 +145,17 @@
   });
   const load = { up: 2, empty: 1, cpus: 8, used: 4, waiting: 7 };
   const machines = [machine("i-1", "booting"), machine("i-2", "idle")];
-  const left = toDemandRecord({ shard: 3, token: 8, recovered: true, load, demand: [demand], machines });
+  const said = {
+    shard: 3,
+    token: 8,
+    recovered: true,
+    load,
+    demand: [demand],
+    machines,
+    rooms: [],
+    waiting: [],
+  };
+  const left = toDemandRecord(said);
   const read = fromDemandRecord(3, JSON.parse(JSON.stringify(left)), ["i-1", "i-2"]);
   assert.deepEqual([read?.shard, read?.token, read?.recovered, read?.demand], [3, 8, true, [demand]]);
   assert.deepEqual(
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -51,6 +51,7 @@
     recovered: true,
     termToken: 0,
     resumeAt: null,
+    reservedQuota: new Map(),
     overdueReservations: new Map(),
     preemptionReservations: new Map(),
   };
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -59,6 +59,7 @@
     wallNow: NOW,
     recovered: true,
     termToken: 0,
+    reservedQuota: new Map(),
     preemptionReservations: new Map(),
     resumeAt: null,
     overdueReservations: new Map(),
--- /dev/null
+++ b/test/transfers.test.ts
@@ -0,0 +1,137 @@
+/** Jobs that pass to another shard: who is chosen, on what terms, and what their own shard goes on counting. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { chooseTransfer } from "../src/autoscaling/decide.js";
+import type { FreeRoom, Summary, WaitingJob } from "../src/peers/messages.js";
+import { QuotaReservations } from "../src/placement/quota-reservations.js";
+import { Shard } from "../src/placement/shard.js";
+import { keys } from "../src/state/keys.js";
+import { FakeView, jobSpec, silent, smallType } from "./support/records.js";
+import { testSettings } from "./support/settings.js";
+
+const GONE_MS = 1000;
+
+function summary(shard: number, over: Partial<Summary>): Summary {
+  const load = { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 };
+  return {
+    shard,
+    token: 1,
+    recovered: true,
+    load,
+    demand: [],
+    machines: [],
+    rooms: [],
+    waiting: [],
+    ...over,
+  };
+}
+
+function waiting(job: string, cpus: number, waitedMs: number): WaitingJob {
+  const task = { cpus, gpus: 0, memoryGb: 1, types: [], zone: "north", spot: true, count: 1 };
+  return { job, task: { ...task, priority: "normal" }, waitedMs };
+}
+
+const room = (cpus: number, zone = "north"): FreeRoom => ({
+  type: "small",
+  zone,
+  spot: false,
+  cpus,
+  gpus: 0,
+  memoryGb: 4,
+});
+
+test("the job that has waited longest of those that fit another shard's room passes on", () => {
+  const giver = summary(0, {
+    waiting: [waiting("req-1", 3, 60_000), waiting("req-2", 1, 50_000), waiting("req-3", 1, 55_000)],
+  });
+  assert.deepEqual(chooseTransfer([giver, summary(1, { rooms: [room(2)] })]), {
+    shard: 0,
+    to: 1,
+    job: "req-3",
+  });
+});
+
+test("no job passes to its own shard, to another zone, or to a shard that has not heard its machines", () => {
+  const giver = summary(0, { waiting: [waiting("req-1", 1, 60_000)], rooms: [room(4)] });
+  assert.equal(chooseTransfer([giver, summary(1, { rooms: [room(4, "south")] })]), null);
+  assert.equal(chooseTransfer([giver, summary(1, { rooms: [room(4)], recovered: false })]), null);
+  assert.equal(chooseTransfer([giver, undefined]), null);
+});
+
+test("what a job may use elsewhere counts until its last task is surely gone", () => {
+  const reservations = new QuotaReservations(GONE_MS);
+  reservations.hold("req-1", { team: "tight", cpus: 4, gpus: 0 });
+  reservations.hold("req-2", { team: "tight", cpus: 2, gpus: 0 });
+  assert.deepEqual(reservations.usage.get("tight"), { cpus: 6, gpus: 0 });
+  reservations.ended("req-1", 100);
+  reservations.ended("req-1", 900);
+  assert.deepEqual(reservations.expire(100 + GONE_MS), []);
+  assert.deepEqual(reservations.expire(101 + GONE_MS), ["req-1"]);
+  assert.deepEqual(reservations.usage.get("tight"), { cpus: 2, gpus: 0 });
+});
+
+/** A shard of a team with a limit of four processors, one machine, and a job of six tasks that cannot run there. */
+function cappedShard(): { shard: Shard; view: FakeView } {
+  const view = new FakeView();
+  const spec = jobSpec("req-1", { team: "capped", tasks: 6, zone: "south" });
+  view.put(keys.job("req-1"), { spec, shard: 1, acceptedAt: Date.now() - 60_000 }, 5);
+  const types = new Map([[smallType.name, smallType]]);
+  const shard = new Shard(1, 3, 0, testSettings(), () => types, view, silent);
+  return { shard, view };
+}
+
+test("a job passes on with as many tasks at once as its team's limit leaves, and its shard counts them", () => {
+  const { shard } = cappedShard();
+  assert.equal(shard.summary(3, 0).waiting[0]?.job, "req-1");
+  const prepared = shard.beginTransfer("req-1", 0);
+  assert.ok(prepared !== null, "it may pass on");
+  assert.equal(prepared.terms.mostAtOnce, 4);
+  assert.deepEqual(prepared.terms.reservation, { team: "capped", cpus: 4, gpus: 0 });
+  assert.equal(shard.beginTransfer("req-1", 0), null, "not twice");
+  assert.deepEqual(shard.summary(3, 0).waiting, []);
+  shard.transferFailed(prepared.job);
+  assert.equal(shard.summary(3, 0).waiting[0]?.job, "req-1", "it may pass later");
+});
+
+test("a new owner goes on counting what has passed on, also where the job ended meanwhile", () => {
+  const { view } = cappedShard();
+  view.put(keys.quota(1, "req-9"), { team: "capped", cpus: 3, gpus: 0 }, 6);
+  const types = new Map([[smallType.name, smallType]]);
+  const { cancelMs } = testSettings().workers;
+  const shard = new Shard(1, 7, 0, testSettings(), () => types, view, silent);
+  assert.equal(shard.beginTransfer("req-1", 0), null, "the limit leaves less than the job could use");
+  shard.expire(cancelMs);
+  assert.deepEqual(shard.progressed(4), [], "its tasks may still be there");
+  shard.expire(cancelMs + 1);
+  assert.equal(shard.beginTransfer("req-1", 0)?.terms.mostAtOnce, 4);
+  assert.deepEqual(shard.progressed(4)[0]?.writes, [{ remove: keys.quota(1, "req-9") }]);
+});
+
+test("a job that is told done is counted no longer, and one that is cancelled for as long as its tasks may go on", () => {
+  const { view, shard } = cappedShard();
+  for (const [id, stage] of [
+    ["req-8", "done"],
+    ["req-9", "cancelled"],
+  ] as const) {
+    shard.sync(view, [view.put(keys.quota(1, id), { team: "capped", cpus: 1, gpus: 0 }, 6)], 0);
+    shard.sync(view, [view.put(keys.ended(id), { stage, done: 1 }, 7)], 0);
+  }
+  assert.deepEqual(shard.progressed(4)[0]?.writes, [{ remove: keys.quota(1, "req-8") }]);
+  assert.equal(shard.beginTransfer("req-1", 0), null, "the cancelled one counts");
+  shard.expire(testSettings().workers.cancelMs + 1);
+  assert.equal(shard.beginTransfer("req-1", 0)?.terms.mostAtOnce, 4);
+});
+
+test("a shard gives up a job whose record names another, and the other takes it on its terms", () => {
+  const { shard, view } = cappedShard();
+  const spec = jobSpec("req-1", { team: "capped", tasks: 6 });
+  const record = { spec, shard: 0, acceptedAt: Date.now(), mostAtOnce: 2 };
+  const types = new Map([[smallType.name, smallType]]);
+  const other = new Shard(0, 4, 0, testSettings(), () => types, view, silent);
+  const change = view.put(keys.job("req-1"), record, 9);
+  shard.sync(view, [change], 0);
+  other.sync(view, [change], 0);
+  assert.equal(shard.jobs.get("req-1"), undefined);
+  assert.equal(other.jobs.get("req-1")?.startableTasks, 2);
+  assert.deepEqual(other.summary(4, 0).waiting, [], "a guest does not pass on once more");
+});
