--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,5 +1,4 @@
 /** One controller: makes the actors and connects them. */
-import { createServer } from "node:http";
 import { pipeline } from "node:stream";
 import { CloudClient } from "./cloud/client.js";
 import type { OperatorSettings } from "./config/operator.js";
@@ -7,8 +6,9 @@
 import { dependenciesOf, type Dependencies } from "./dependencies.js";
 import { answerPeerRequest, NOTHING } from "./peer-requests.js";
 import { deriveTimings, type Timings } from "./timings.js";
-import { createApp, type AppParts } from "./http/app.js";
+import type { AppParts } from "./http/app.js";
 import { Relay } from "./http/relay.js";
+import { serve } from "./http/server.js";
 import { JobRequestHandler, type UserAnswer, type UserRequest } from "./http/users.js";
 import { ShardAssignment } from "./jobs/shard-assignment.js";
 import { JobService } from "./jobs/service.js";
@@ -19,7 +19,6 @@
 import { ShardOwner } from "./placement/shard-owner.js";
 import type { SteadyClock } from "./runtime/clock.js";
 import { parseJson } from "./runtime/http-client.js";
-import { listenOn } from "./runtime/listening.js";
 import type { Logger } from "./runtime/log.js";
 import { ReportRouter } from "./report-router.js";
 import { SummaryExchange } from "./summary-exchange.js";
@@ -231,18 +230,15 @@
   async start(): Promise<Running> {
     const end = this.begin();
     const peerPort = await this.peers.listen(this.settings.peerListen, (request) => this.answerPeer(request));
-    const handle = createApp(this.door).callback();
-    const server = createServer((request, response) => void handle(request, response));
-    // Users and workers keep their connections; closing them between two polls costs both sides.
-    server.keepAliveTimeout = 2 * this.settings.workers.cancelMs;
-    const port = await listenOn(server, this.settings.listen, this.log);
+    const idleMs = 2 * this.settings.workers.cancelMs;
+    const server = await serve(this.door, this.settings.listen, idleMs);
+    const { port } = server;
     this.log.info({ port, peerPort }, "listening");
     return {
       port,
       peerPort,
       close: () => {
         end();
-        server.closeAllConnections();
         server.close();
       },
     };
--- a/src/http/app.ts
+++ b/src/http/app.ts
@@ -1,20 +1,14 @@
 /** The interface for users, workers and health checks. */
 import Koa, { type Context } from "koa";
 import { BodyTooLarge, parseJson, readAll } from "../runtime/http-client.js";
-import type { Logger } from "../runtime/log.js";
-import { MAX_BODY_BYTES, parseReport, paths, redirectToWire, type WorkerReport } from "../wire/index.js";
+import { MAX_BODY_BYTES, paths } from "../wire/index.js";
+import { answerReport, type ReportParts } from "./reports.js";
 import type { UserRequestHandler } from "./users.js";
 
-/** The answer to a worker's report: commands, or where the worker should report to. */
-export type Routed = { kind: "commands"; body: object } | { kind: "redirect"; owner: string | null };
-
 /** What the HTTP interface needs of the rest of the process. */
-export interface AppParts {
+export interface AppParts extends ReportParts {
   users: UserRequestHandler;
-  /** Finds who may answer a worker, and answers if that is this node. */
-  report(report: WorkerReport): Promise<Routed>;
   healthy(): boolean;
-  log: Logger;
 }
 
 /** When a user that cannot be served now should come again. */
@@ -32,9 +26,14 @@
       return only(ctx, "GET", () => {
         health(ctx, parts);
       });
-    if (ctx.path === paths.report) return only(ctx, "POST", () => report(ctx, parts));
+    if (ctx.path === paths.report)
+      return only(ctx, "POST", async () => {
+        const { status, body } = await answerReport(await readBody(ctx), parts);
+        answer(ctx, status, body);
+      });
     const { method, path } = ctx;
-    const body = method === "POST" ? await readBody(ctx) : undefined;
+    const text = method === "POST" ? await readBody(ctx) : undefined;
+    const body = text === undefined ? undefined : parseJson(text);
     const { status, body: said, allow } = await parts.users.answer({ method, path, body });
     if (allow !== undefined) ctx.set("Allow", allow);
     answer(ctx, status, said);
@@ -65,28 +64,13 @@
   answer(ctx, ok ? 200 : 503, { ok });
 }
 
-/** The body as JSON; undefined where it is none or too long. */
-async function readBody(ctx: Context): Promise<unknown> {
+/** The body's text; undefined where it is too long. */
+async function readBody(ctx: Context): Promise<string | undefined> {
   try {
-    return parseJson(await readAll(ctx.req, MAX_BODY_BYTES));
+    return await readAll(ctx.req, MAX_BODY_BYTES);
   } catch (err) {
     if (!(err instanceof BodyTooLarge)) throw err;
     ctx.set("Connection", "close");
     return undefined;
   }
 }
-
-async function report(ctx: Context, parts: AppParts): Promise<void> {
-  const parsed = parseReport(await readBody(ctx));
-  if (!parsed.ok) {
-    parts.log.info({ error: parsed.error }, "unreadable report");
-    answer(ctx, 400, { error: parsed.error });
-    return;
-  }
-  const routed = await parts.report(parsed.value);
-  if (routed.kind === "commands") {
-    answer(ctx, 200, routed.body);
-    return;
-  }
-  answer(ctx, 421, redirectToWire(routed.owner));
-}
--- a/src/report-router.ts
+++ b/src/report-router.ts
@@ -1,6 +1,6 @@
 /** Brings workers' reports to the owner of their machine's shard. */
 import type { Autoscaler } from "./autoscaling/autoscaler.js";
-import type { Routed } from "./http/app.js";
+import type { Routed } from "./http/reports.js";
 import type { Membership } from "./membership/membership.js";
 import type { PeerReply, PeerRequest } from "./peers/messages.js";
 import type { ReportAnswer, ShardOwner } from "./placement/shard-owner.js";
