--- a/src/placement/transfers.ts
+++ b/src/placement/transfers.ts
@@ -27,12 +27,14 @@
     .filter((job) => input.wallNow - job.acceptedAt >= TRANSFER_AFTER * BESIDE_ROOM_S * 1000)
     .filter((job) => job.waiting > 0 && mayPass(job, input))
     .sort((a, b) => a.acceptedAt - b.acceptedAt);
+  if (oldest.length === 0) return [];
+  const taken = takenOf(input);
   const told = new Map<string, WaitingJob>();
   for (const job of oldest) {
     const { cpus, gpus, memoryGb, types, zone, spot, priority } = job.spec;
     const task = { cpus, gpus, memoryGb, types: types ?? [], zone: zone ?? "", spot, priority, count: 1 };
     const kind = JSON.stringify(task);
-    if (told.has(kind) || termsOf(job, input) === null) continue;
+    if (told.has(kind) || termsOf(job, input, taken) === null) continue;
     told.set(kind, { job: job.spec.id, task, waitedMs: input.wallNow - job.acceptedAt });
     if (told.size === MOST_TOLD) break;
   }
@@ -44,15 +46,27 @@
   return !job.begun && !job.suspect && job.mostAtOnce === Infinity && startable(job, input);
 }
 
+/** What the teams take of their limits: worked out once for all jobs that are looked at together. */
+interface Taken {
+  byTeam: Map<string, Usage>;
+  unseen: Usage;
+}
+
+function takenOf(input: RoundInput): Taken {
+  return {
+    byTeam: teamUsage(input.jobs, input.reservedQuota),
+    unseen: unseenUsage(input.machines, input.types),
+  };
+}
+
 /** On what terms a job may pass on now; null if its team's limit leaves no room for all that could ever run of it at once. */
-export function termsOf(job: Job, input: RoundInput): TransferTerms | null {
+export function termsOf(job: Job, input: RoundInput, taken = takenOf(input)): TransferTerms | null {
   const { spec } = job;
   const team = input.teams.find((t) => t.name === spec.team);
   if (team === undefined) return null;
   if (team.cpusMax <= 0 && team.gpusMax <= 0) return { mostAtOnce: Infinity, reservation: null };
-  const used = teamUsage(input.jobs, input.reservedQuota).get(spec.team)!;
-  const unseen = unseenUsage(input.machines, input.types);
-  const most = Math.min(spec.tasks, tasksUnderLimit(team, used, unseen, spec));
+  const used = taken.byTeam.get(spec.team)!;
+  const most = Math.min(spec.tasks, tasksUnderLimit(team, used, taken.unseen, spec));
   // Guards against a job that goes on with a task or two at a time where its own shard would soon let all of it run.
   if (most < Math.min(spec.tasks, tasksUnderLimit(team, NOTHING, NOTHING, spec))) return null;
   const reservation = { team: spec.team, cpus: most * spec.cpus, gpus: most * spec.gpus };
--- a/test/transfers.test.ts
+++ b/test/transfers.test.ts
@@ -135,3 +135,20 @@
   assert.equal(other.jobs.get("req-1")?.startableTasks, 2);
   assert.deepEqual(other.summary(4, 0).waiting, [], "a guest does not pass on once more");
 });
+
+test("which jobs may pass on is found in one look at all jobs and machines, however many wait", () => {
+  const view = new FakeView();
+  for (let i = 0; i < 200; i++) {
+    const spec = jobSpec(`req-${i}`, { team: "capped", tasks: 6, zone: "south", cpus: 0.5 + i / 1000 });
+    view.put(keys.job(spec.id), { spec, shard: 1, acceptedAt: Date.now() - 60_000 }, 5);
+  }
+  view.put(keys.quota(1, "req-999"), { team: "capped", cpus: 4, gpus: 0 }, 6);
+  const types = new Map([[smallType.name, smallType]]);
+  const shard = new Shard(1, 3, 0, testSettings(), () => types, view, silent);
+  let looks = 0;
+  const [first] = shard.jobs.values();
+  const { active } = first!;
+  Object.defineProperty(first, "active", { get: () => (looks++, active) });
+  assert.deepEqual(shard.summary(3, 0).waiting, [], "the team is at its limit");
+  assert.ok(looks < 20, `${looks} looks at one job`);
+});
