No fixed limit below 4,000 machines in what is remembered of machines; max_machines defaults to 10000

max_machines defaulted to 2000, machines without a record were remembered until their second report up to 2000, and machines that had left up to 1000, so that above that registrations would never come and late copies would be believed. Rules watched by the tests' simulation and the user's job move to files of their own.

--- a/src/autoscaling/autoscaler.ts
+++ b/src/autoscaling/autoscaler.ts
@@ -97,7 +97,7 @@
   ) {
     super(log);
     this.summaries = new SummaryBook(view, fleet, operator.passSpacingMs);
-    this.unknown = new UnregisteredMachines(settings.workers.reportMs / 2);
+    this.unknown = new UnregisteredMachines(settings.workers.reportMs / 2, operator.maxMachines);
     this.listing = new Listing(settings.cloud.listLagMs);
   }
 
--- a/src/autoscaling/unregistered-machines.ts
+++ b/src/autoscaling/unregistered-machines.ts
@@ -2,19 +2,20 @@
 import { LRUCache } from "lru-cache";
 import type { WorkerReport } from "../wire/index.js";
 
-/** How many unknown machines are remembered until their second report. */
-const REMEMBERED = 2000;
-
 /**
  * Guards against registering a machine that has been returned: copies of its reports may come late. A machine is
  * believed to be there only once a second report, newer and some time after the first, has come in.
  */
 export class UnregisteredMachines {
-  private readonly first = new LRUCache<string, { session: number; seq: number; at: number }>({
-    max: REMEMBERED,
-  });
+  private readonly first: LRUCache<string, { session: number; seq: number; at: number }>;
 
-  constructor(private readonly gapMs: number) {}
+  constructor(
+    private readonly gapMs: number,
+    /** How many unknown machines are remembered until their second report: all that may be rented at a time. */
+    mostMachines: number,
+  ) {
+    this.first = new LRUCache({ max: mostMachines });
+  }
 
   /** Whether the machine is to be registered. */
   hear(report: Pick<WorkerReport, "host" | "session" | "seq">, now: number): boolean {
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -8,7 +8,7 @@
     sizing: z
       .strictObject({
         /** The most machines that may be rented at a time. */
-        max_machines: z.int().positive().default(2000),
+        max_machines: z.int().positive().default(10_000),
         /** The most tasks that sizing rents for at a time. */
         max_tasks: z.int().positive().default(100_000),
         /** How long a machine must stand empty before it is returned; half its type's boot time if not given. */
--- a/src/placement/shard-records.ts
+++ b/src/placement/shard-records.ts
@@ -11,8 +11,11 @@
 import { CompletionLog } from "./completion-log.js";
 import { QuotaReservations } from "./quota-reservations.js";
 
-/** How many machines that have left are remembered, so that late copies of their reports are known for what they are. */
-const REMEMBERED_MACHINES = 1000;
+/**
+ * How many machines that have left are remembered, so that late copies of their reports are known for what they are: more
+ * than a shard with every machine of a large fleet loses within the minutes for which copies may be late.
+ */
+const REMEMBERED_MACHINES = 10_000;
 
 /** How many cancellations that were told are remembered: many more than are made while the feed is behind. */
 const REMEMBERED_CANCELLATIONS = 10_000;
--- a/test/autoscaling.test.ts
+++ b/test/autoscaling.test.ts
@@ -113,7 +113,7 @@
 traceTests("autoscaling", newScenario);
 
 test("one late copy of a report does not bring a returned machine back into the records", () => {
-  const unregistered = new UnregisteredMachines(750);
+  const unregistered = new UnregisteredMachines(750, 100);
   const copy = { host: "i-1", session: 2, seq: 40 };
   // However often the same report comes, it is one report; an older one proves nothing either.
   assert.deepEqual(
--- /dev/null
+++ b/test/large-fleets.test.ts
@@ -0,0 +1,58 @@
+/** No fixed limit stops a fleet of 4,000 machines: what is remembered of each of them is counted here. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { UnregisteredMachines } from "../src/autoscaling/unregistered-machines.js";
+import { checkOperatorSettings } from "../src/config/operator.js";
+import { frameBytes, FrameReader } from "../src/peers/framing.js";
+import type { Frame, MachineSummary } from "../src/peers/messages.js";
+import { Shard } from "../src/placement/shard.js";
+import { keys } from "../src/state/keys.js";
+import type { WorkerReport } from "../src/wire/index.js";
+import { FakeView, silent, smallType } from "./support/records.js";
+import { testSettings } from "./support/settings.js";
+
+const MACHINES = 4000;
+const GAP_MS = 500;
+
+const hosts = Array.from({ length: MACHINES }, (_, i) => `i-${String(i).padStart(6, "0")}`);
+
+test("by default as many machines may be rented, and an operator's cap stays a cap", () => {
+  assert.ok(checkOperatorSettings({}).maxMachines >= MACHINES);
+  assert.equal(checkOperatorSettings({ sizing: { max_machines: 40 } }).maxMachines, 40);
+});
+
+test("machines without a record are registered at their second report, however many report in turn", () => {
+  const unregistered = new UnregisteredMachines(GAP_MS, checkOperatorSettings({}).maxMachines);
+  for (const host of hosts) assert.equal(unregistered.hear({ host, session: 1, seq: 1 }, 0), false);
+  const heard = hosts.filter((host) => unregistered.hear({ host, session: 1, seq: 2 }, GAP_MS));
+  assert.equal(heard.length, MACHINES);
+});
+
+test("late copies of the reports of all machines that left and came back show nothing", () => {
+  const view = new FakeView();
+  const types = new Map([[smallType.name, smallType]]);
+  const shard = new Shard(0, 3, 0, testSettings(), () => types, view, silent);
+  const of = { shard: 0, type: smallType.name, zone: "north", spot: false, since: 0 };
+  const machines = Object.fromEntries(hosts.map((host) => [host, "up"]));
+  const come = view.put(keys.machines("all"), { ...of, machines }, 1);
+  shard.sync(view, [come], 0);
+  const report = (host: string): WorkerReport => {
+    const place = { type: smallType.name, zone: "north", spot: false, address: "a:1" };
+    return { host, ...place, session: 1, seq: 5, token: 3, noticeS: null, tasks: [] };
+  };
+  for (const host of hosts) assert.notEqual(shard.report(report(host), 0), null);
+  shard.sync(view, [view.remove(keys.machines("all"), 2)], 0);
+  shard.sync(view, [view.put(keys.machines("all"), { ...of, machines }, 3)], 0);
+  const believed = hosts.filter((host) => shard.report(report(host), 0) !== null);
+  assert.deepEqual(believed, []);
+});
+
+test("a summary of all of them goes to the leader in one frame", async () => {
+  const summaries = hosts.map((host): MachineSummary => ({ host, state: "busy", forMs: 0, emptyReports: 0 }));
+  const load = { up: MACHINES, empty: 0, cpus: 16_000, used: 16_000, waiting: 0 };
+  const summary = { shard: 0, token: 3, recovered: true, demand: [], machines: summaries, load };
+  const frame: Frame = { id: 1, reply: false, body: { summary: { ...summary, rooms: [], waiting: [] } } };
+  const reader = new FrameReader();
+  reader.end(frameBytes(frame));
+  assert.deepEqual(await reader.toArray(), [frame]);
+});
--- a/test/support/fault-combinations.ts
+++ b/test/support/fault-combinations.ts
@@ -154,7 +154,7 @@
       await Promise.race([world.cancel(job, other), world.run(3000)]);
       assert.ok(job.cancelledAt !== null && job.completed.size < 300, "confirmed while tasks wait");
       await world.run(12_000);
-      assert.equal(world.startsAfterCancellation, 0);
+      assert.equal(world.rules.startsAfterCancellation, 0);
       world.store.refused.delete(owner.index);
     },
   },
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -17,9 +17,13 @@
 import { Cloud } from "./cloud.js";
 import { submission, type Answer } from "./cluster.js";
 import { silent } from "./records.js";
+import { RuleWatch } from "./rule-watch.js";
 import { testSettings, type SettingsOptions } from "./settings.js";
 import { StateStore } from "./state-service.js";
-import type { WorkerFigures, WorkerStandIn } from "./worker.js";
+import { UserJob } from "./user-job.js";
+import type { WorkerFigures } from "./worker.js";
+
+export type { UserJob };
 
 /** All clocks move on in steps of so much. */
 const STEP_MS = 10;
@@ -28,15 +32,6 @@
 const POLL_MS = 5000;
 const RETRY_MS = 1000;
 
-/** Once faults are over nobody waits so long beside a machine that fits and has room. */
-const NEGLECTED_MS = 90_000;
-/** Once faults are over every question is answered within this. */
-const FORGOTTEN_MS = 75_000;
-/** A start that was sent before its job was confirmed as cancelled has come within this. */
-const UNDER_WAY_MS = 500;
-/** What a machine of the stand-in cloud holds. */
-const MACHINE_CPUS = 4;
-
 const ZONES = ["north", "south"];
 
 /** One life of a controller: what it began goes nowhere once it is over. */
@@ -46,29 +41,6 @@
   end(): void;
 }
 
-/** A job as its user knows it. */
-export class UserJob {
-  accepted = false;
-  refusedWith = 0;
-  cancelAsked = false;
-  cancelledAt: number | null = null;
-  done = false;
-  /** When a question was last answered. */
-  answeredAt = -Infinity;
-  /** Since when a machine has had room for one of its tasks that waits. */
-  besideRoomSince: number | null = null;
-  readonly completed = new Set<string>();
-
-  constructor(
-    readonly id: string,
-    readonly body: Record<string, unknown>,
-  ) {}
-
-  get over(): boolean {
-    return this.done || this.cancelledAt !== null;
-  }
-}
-
 /** What a controller can be cut off from. */
 export interface Cuts {
   state: boolean;
@@ -97,8 +69,6 @@
   readonly jobs = new Map<string, UserJob>();
   /** What went against the rules. */
   readonly broken: string[] = [];
-  /** Starts of tasks whose job's cancellation had been confirmed before the start was sent; allowed, and of no use. */
-  startsAfterCancellation = 0;
   readonly workers: WorkerFigures;
   readonly settings: Settings;
   /** The part of the transactions that get no answer and are carried out seconds later. */
@@ -114,6 +84,7 @@
   keepsReports = false;
   private readonly kept: { zone: string; text: string }[] = [];
   private readonly onStart = new Map<string, () => void>();
+  readonly rules = new RuleWatch(this);
   private readonly luck: ReturnType<typeof xoroshiro128plus>;
 
   private constructor(
@@ -140,7 +111,9 @@
       this.workers,
       {
         started: (piece, worker) => {
-          this.started(piece, worker);
+          this.rules.started(piece, worker);
+          this.onStart.get(piece)?.();
+          this.onStart.delete(piece);
         },
         completed: (piece) => {
           this.finished(piece);
@@ -180,8 +153,8 @@
       this.now += STEP_MS;
       await settled();
       if (this.now % (50 * STEP_MS) !== 0) continue;
-      this.watchCancelled();
-      if (this.now > this.calmSince) this.watchNeglected();
+      this.rules.watchCancelled();
+      if (this.now > this.calmSince) this.rules.watchNeglected();
     }
   }
 
@@ -384,110 +357,17 @@
     return count;
   }
 
-  private jobOf(piece: string): UserJob | undefined {
+  /** The job that a task belongs to. */
+  jobOf(piece: string): UserJob | undefined {
     return this.jobs.get(piece.slice(0, piece.indexOf("/")));
   }
 
-  /** The rules that can be broken by a start. */
-  private started(piece: string, worker: WorkerStandIn): void {
-    const job = this.jobOf(piece)!;
-    if (job.cancelledAt !== null && this.now - job.cancelledAt > UNDER_WAY_MS) this.startsAfterCancellation++;
-    this.onStart.get(piece)?.();
-    this.onStart.delete(piece);
-    for (const twice of this.cloud.ranTwice) this.note(`ran_twice: ${twice}`);
-    this.checkQuota(String(job.body.crew));
-    const wrong = this.misplaced(job, piece, worker);
-    if (wrong !== null) this.note(`wrong_place: ${piece} ${wrong}`);
-  }
-
-  private usedBy(team: string): number {
-    let used = 0;
-    for (const worker of this.cloud.machines.values())
-      for (const piece of worker.running) {
-        const { body } = this.jobOf(piece)!;
-        if (body.crew === team) used += Number(body.vcpus);
-      }
-    return used;
-  }
-
-  /** What a team may use at a time. */
-  private limitOf(team: string): number {
-    const limit = this.settings.teams.find((t) => t.name === team)?.cpusMax ?? 0;
-    return limit > 0 ? limit : Infinity;
-  }
-
-  private checkQuota(team: string): void {
-    const limit = this.limitOf(team);
-    const used = this.usedBy(team);
-    if (used > limit + 1e-9) this.note(`quota: ${team} uses ${used} of ${limit}`);
-  }
-
-  /** Why a task may not be where it is, given the job's other tasks. */
-  private misplaced(job: UserJob, piece: string, worker: WorkerStandIn): string | null {
-    const { bank, together, spread, loaners, pieces } = job.body;
-    const zones = new Map<string, number>();
-    for (const { running, zone } of this.cloud.machines.values())
-      for (const other of running)
-        if (other !== piece && this.jobOf(other) === job) zones.set(zone, (zones.get(zone) ?? 0) + 1);
-    const elsewhere = [...zones.keys()].some((zone) => zone !== worker.zone);
-    const crowded = (zones.get(worker.zone) ?? 0) + 1 > Math.ceil(Number(pieces) / 2);
-    if (bank && bank !== worker.zone) return "outside its zone";
-    if (worker.spot && loaners === false) return "on a cheap machine";
-    if (together === true && elsewhere) return "apart from its job";
-    if (spread === true && crowded) return "where half of its job is";
-    return null;
-  }
-
   private finished(piece: string): void {
     this.jobOf(piece)!.completed.add(piece);
   }
 
-  /** A cancelled job's tasks are gone in time, whoever confirmed it. */
-  private watchCancelled(): void {
-    const { cancelMs } = this.settings.workers;
-    for (const worker of this.cloud.machines.values())
-      for (const piece of worker.running) {
-        const { cancelledAt } = this.jobOf(piece)!;
-        if (cancelledAt !== null && this.now > cancelledAt + cancelMs) this.note(`ran_cancelled: ${piece}`);
-      }
-  }
-
-  /** Nobody waits for long beside room, and every question is answered now and then. */
-  private watchNeglected(): void {
-    const running = new Set([...this.cloud.machines.values()].flatMap((worker) => [...worker.running]));
-    for (const job of this.jobs.values()) {
-      if (!job.accepted || job.over) continue;
-      if (this.now - Math.max(job.answeredAt, this.calmSince) > FORGOTTEN_MS)
-        this.note(`forgotten: ${job.id} is not told of`);
-      // What fails as soon as it starts is seen to wait, however often it is tried.
-      if (this.workers.faulty?.has(job.id)) continue;
-      const tasks = Array.from({ length: Number(job.body.pieces) }, (_, i) => `${job.id}/${i}`);
-      const waits = tasks.some((task) => !running.has(task) && !job.completed.has(task));
-      const room =
-        waits &&
-        this.underLimit(job) &&
-        [...this.cloud.machines.values()].some((worker) => this.hasRoom(worker, job));
-      if (!room) job.besideRoomSince = null;
-      else job.besideRoomSince ??= this.now;
-      if (job.besideRoomSince !== null && this.now - job.besideRoomSince > NEGLECTED_MS)
-        this.note(`neglected: ${job.id}`);
-    }
-  }
-
-  private underLimit(job: UserJob): boolean {
-    const team = String(job.body.crew);
-    return this.usedBy(team) + Number(job.body.vcpus) <= this.limitOf(team);
-  }
-
-  private hasRoom(worker: WorkerStandIn, job: UserJob): boolean {
-    let used = 0;
-    for (const piece of worker.running) used += Number(this.jobOf(piece)!.body.vcpus);
-    return (
-      worker.well && used + Number(job.body.vcpus) <= MACHINE_CPUS && this.misplaced(job, "", worker) === null
-    );
-  }
-
-  private note(what: string): void {
+  /** Something went against the rules. */
+  note(what: string): void {
     if (!this.broken.includes(what)) this.broken.push(what);
   }
 
