--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -39,7 +39,7 @@
 });
 
 test("operators' settings have defaults, and a misspelt one is refused", async () => {
-  assert.equal((await readOperatorSettings(undefined)).maxMachines, 2000);
+  assert.equal((await readOperatorSettings(undefined)).maxMachines, 10_000);
   const some = file("some.hcl", "sizing {\n  max_machines = 40 # a cap\n  idle_wait_s = 7.5\n}\n");
   const settings = await readOperatorSettings(some);
   assert.deepEqual([settings.maxMachines, settings.idleWaitMs, settings.passSpacingMs], [40, 7500, 1000]);
