Name no machine in a summary left in the records, and keep it within one value

A summary that could not reach the leader named each booting machine in one record: with thousands of them it outgrew value_kb and was refused, so that a shard cut off from the leader got no machines. Which machines have not spoken is in their own records already, and is taken from there; demand past what one value holds is left out, the least urgent first.

Test: large-fleets.test.ts, 4,000 booting machines and 500 kinds of demand in one value; it fails with the names in the record (4,000 names are over 40 KB of 8) and without the bound on demand.

--- a/src/autoscaling/demand-record.ts
+++ b/src/autoscaling/demand-record.ts
@@ -3,7 +3,8 @@
  * controllers must not keep a shard from getting machines.
  */
 import * as z from "zod";
-import type { Demand, Summary } from "../peers/messages.js";
+import type { Demand, MachineSummary, Summary } from "../peers/messages.js";
+import type { MachineRecord } from "../workers/records.js";
 
 const demandSchema = z.object({
   cpus: z.number(),
@@ -20,33 +21,46 @@
   token: z.number(),
   recovered: z.boolean(),
   demand: z.array(demandSchema),
-  /** Machines that have not spoken yet: all others are taken to be at work. */
-  booting: z.array(z.string()),
 });
 
 /** The part of a summary that is worth leaving in the records. */
-export function toDemandRecord({
-  token,
-  recovered,
-  demand,
-  machines,
-}: Summary): z.infer<typeof recordSchema> {
-  const booting = machines.filter((m) => m.state === "booting").map((m) => m.host);
-  return { token, recovered, demand, booting };
+export type DemandRecord = z.infer<typeof recordSchema>;
+
+/** What a record takes besides its demand, with room for the longest token. */
+const HEAD_BYTES = 128;
+
+/**
+ * Nothing in the record grows with the number of machines: which of them have not spoken yet is in their own records.
+ * Demand past what one value holds is left out, the least urgent first: it is told again once the rest has machines.
+ */
+export function toDemandRecord({ token, recovered, demand }: Summary, valueBytes: number): DemandRecord {
+  const kept: Demand[] = [];
+  let bytes = HEAD_BYTES;
+  for (const group of demand) {
+    bytes += Buffer.byteLength(JSON.stringify(group)) + 1;
+    if (bytes > valueBytes) break;
+    kept.push(group);
+  }
+  return { token, recovered, demand: kept };
 }
 
-/** Null where the record cannot be read. No machine is selected for removal by it: it shows no machine idle. */
-export function fromDemandRecord(shard: number, value: unknown, hosts: Iterable<string>): Summary | null {
+/**
+ * Null where the record cannot be read. Machines that their own records show as booting count as such, and all others
+ * as busy, so that none is selected for removal by it.
+ */
+export function fromDemandRecord(
+  shard: number,
+  value: unknown,
+  machines: Iterable<[string, Pick<MachineRecord, "up">]>,
+): Summary | null {
   const record = recordSchema.safeParse(value).data;
   if (record === undefined) return null;
-  const booting = new Set(record.booting);
-  const machines = [...hosts].map((host) => ({
+  const summaries = Array.from(machines, ([host, { up }]): MachineSummary => ({
     host,
-    state: booting.has(host) ? ("booting" as const) : ("busy" as const),
+    state: up ? "busy" : "booting",
     forMs: 0,
     emptyReports: 0,
   }));
-  const { token, recovered, demand } = record;
   const load = { up: 0, empty: 0, cpus: 0, used: 0, waiting: 0 };
-  return { shard, token, recovered, demand, machines, load, rooms: [], waiting: [] };
+  return { shard, ...record, machines: summaries, load, rooms: [], waiting: [] };
 }
--- a/src/autoscaling/summary-book.ts
+++ b/src/autoscaling/summary-book.ts
@@ -42,8 +42,8 @@
     const seen = this.recorded.get(shard);
     if (seen?.version !== entry.version) this.recorded.set(shard, { version: entry.version, at: now });
     else if (now - seen.at >= 8 * this.spacingMs) return undefined;
-    const hosts = [...this.fleet.all()].filter(([, m]) => m.shard === shard).map(([host]) => host);
-    const summary = fromDemandRecord(shard, entry.value, hosts);
+    const machines = [...this.fleet.all()].filter(([, machine]) => machine.shard === shard);
+    const summary = fromDemandRecord(shard, entry.value, machines);
     return summary?.token === this.view.get(keys.shard(shard))?.version ? (summary ?? undefined) : undefined;
   }
 }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -120,6 +120,7 @@
       clock,
       log,
       spacingMs: operator.passSpacingMs,
+      valueBytes: settings.state.valueBytes,
       queueTimeoutMs: figures.submitQueueTimeoutMs,
     });
     this.replica.onChange((changes) => {
--- a/src/summary-exchange.ts
+++ b/src/summary-exchange.ts
@@ -17,6 +17,8 @@
   log: Logger;
   /** The time between two reconciliation passes. */
   spacingMs: number;
+  /** How large a value in the records may be. */
+  valueBytes: number;
   /** How long a summary may wait to be written. */
   queueTimeoutMs: number;
 }
@@ -55,7 +57,7 @@
     const { shard, token } = summary;
     if (now - (this.leftAt.get(shard) ?? -Infinity) < 2 * this.parts.spacingMs) return;
     this.leftAt.set(shard, now);
-    const write = { put: keys.demand(shard), value: toDemandRecord(summary) };
+    const write = { put: keys.demand(shard), value: toDemandRecord(summary, this.parts.valueBytes) };
     this.parts.state
       .commit([{ key: keys.shard(shard), version: token }], [write], "note", this.parts.queueTimeoutMs)
       .catch((err: unknown) => {
--- a/test/autoscaling.test.ts
+++ b/test/autoscaling.test.ts
@@ -155,8 +155,11 @@
     rooms: [],
     waiting: [],
   };
-  const left = toDemandRecord(said);
-  const read = fromDemandRecord(3, JSON.parse(JSON.stringify(left)), ["i-1", "i-2"]);
+  const left = toDemandRecord(said, 8192);
+  const read = fromDemandRecord(3, JSON.parse(JSON.stringify(left)), [
+    ["i-1", { up: false }],
+    ["i-2", { up: true }],
+  ]);
   assert.deepEqual([read?.shard, read?.token, read?.recovered, read?.demand], [3, 8, true, [demand]]);
   assert.deepEqual(
     read?.machines.map((m) => m.state),
--- a/test/large-fleets.test.ts
+++ b/test/large-fleets.test.ts
@@ -1,10 +1,11 @@
 /** No fixed limit stops a fleet of 4,000 machines: what is remembered of each of them is counted here. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { fromDemandRecord, toDemandRecord } from "../src/autoscaling/demand-record.js";
 import { UnregisteredMachines } from "../src/autoscaling/unregistered-machines.js";
 import { checkOperatorSettings } from "../src/config/operator.js";
 import { frameBytes, FrameReader } from "../src/peers/framing.js";
-import type { Frame, MachineSummary } from "../src/peers/messages.js";
+import type { Demand, Frame, MachineSummary } from "../src/peers/messages.js";
 import { Shard } from "../src/placement/shard.js";
 import { keys } from "../src/state/keys.js";
 import type { WorkerReport } from "../src/wire/index.js";
@@ -56,3 +57,30 @@
   reader.end(frameBytes(frame));
   assert.deepEqual(await reader.toArray(), [frame]);
 });
+
+// Fails if the record names machines, as it once did those that were booting, or takes in demand without a bound.
+test("a summary left in the records fits one value, however many machines boot and however much demand differs", () => {
+  const { valueBytes } = testSettings().state;
+  const machines = hosts.map((host): MachineSummary => ({
+    host,
+    state: "booting",
+    forMs: 0,
+    emptyReports: 0,
+  }));
+  const demand = Array.from({ length: 500 }, (_, i): Demand => {
+    const needs = { cpus: 1 + i / 1000, gpus: 0, memoryGb: 1, types: ["small"], zone: "north" };
+    return { ...needs, spot: true, count: 1, priority: "normal" };
+  });
+  const load = { up: 0, empty: 0, cpus: 0, used: 0, waiting: 500 };
+  const summary = { shard: 0, token: Number.MAX_SAFE_INTEGER, recovered: false, demand, machines, load };
+  const record = toDemandRecord({ ...summary, rooms: [], waiting: [] }, valueBytes);
+  assert.ok(Buffer.byteLength(JSON.stringify(record)) <= valueBytes);
+  assert.ok(record.demand.length > 30, `${record.demand.length} kept`);
+  assert.deepEqual(record.demand, demand.slice(0, record.demand.length), "the most urgent are kept");
+  const read = fromDemandRecord(
+    0,
+    record,
+    hosts.map((host) => [host, { up: false }]),
+  );
+  assert.equal(read?.machines.filter((machine) => machine.state === "booting").length, MACHINES);
+});
