--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,9 @@
 /** The folders of src, from the bottom up: a folder imports nothing from those behind it. */
 const LAYERS = [
   ["wire"],
-  ["config", "runtime"],
+  ["runtime"],
+  ["links"],
+  ["config"],
   ["state", "cloud", "peers"],
   ["membership", "jobs"],
   ["workers"],
--- a/src/autoscaling/autoscaler.ts
+++ b/src/autoscaling/autoscaler.ts
@@ -59,6 +59,8 @@
   leadership(): number | null;
   /** Asks the owner of a shard, this process included. */
   askOwner(shard: number, request: PeerRequest): Promise<PeerReply>;
+  /** Whether orders and returns may be recorded and sent now, as far as links go. */
+  mayCallCloud(): boolean;
 }
 
 interface Refusal {
@@ -176,6 +178,8 @@
       await this.hooks.askOwner(transfer.shard, { transfer }).catch(() => undefined);
     }
     await Promise.all(drains.map((drain) => this.drain(drain)));
+    // Nothing is recorded that cannot be sent; asking for prices shows when the cloud is back.
+    if (!this.hooks.mayCallCloud()) return this.probeCloud();
     // One call to the cloud a pass: what is under way first, then orders, then returns, then a look at the list.
     if (await this.resumeOrders(guard)) return;
     if (order !== null && this.cloud.mayCall()) return this.place(guard, order);
@@ -207,6 +211,10 @@
     return true;
   }
 
+  private async probeCloud(): Promise<void> {
+    if (this.cloud.mayCall()) this.prices = await this.cloud.types();
+  }
+
   private async place(guard: Guard, order: Order): Promise<void> {
     const record: OrderRecord = { ...order, since: Date.now() };
     // A name must never come twice, from any process.
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -1,5 +1,6 @@
 /** The operators' own settings, in HCL: caps and the figures of the design that are open to tuning. */
 import * as z from "zod";
+import { linkSettingsSchema } from "../links/settings.js";
 import { check } from "../wire/index.js";
 import { readText, SettingsError } from "./settings.js";
 
@@ -19,6 +20,7 @@
         shard_move_period_s: z.number().positive().default(30),
       })
       .prefault({}),
+    links: linkSettingsSchema,
   })
   .transform((file) => ({
     maxMachines: file.sizing.max_machines,
@@ -26,6 +28,7 @@
     idleWaitMs: file.sizing.idle_wait_s === undefined ? null : file.sizing.idle_wait_s * 1000,
     passSpacingMs: file.sizing.pass_spacing_s * 1000,
     shardMovePeriodMs: file.sizing.shard_move_period_s * 1000,
+    links: file.links,
   }));
 
 /** The operators' own settings, defaults filled in. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -13,10 +13,10 @@
 import { ShardAssignment } from "./jobs/shard-assignment.js";
 import { JobService } from "./jobs/service.js";
 import { Membership } from "./membership/membership.js";
-import type { PeerReply, PeerRequest, Summary } from "./peers/messages.js";
-import type { PeerNetwork } from "./peers/links.js";
-import { Shard } from "./placement/shard.js";
-import { ShardOwner } from "./placement/shard-owner.js";
+import type { PeerReply, PeerRequest } from "./peers/messages.js";
+import type { PeerNetwork, ViewExchange } from "./peers/links.js";
+import { ShardHost } from "./shard-host.js";
+import { LinkMonitoring } from "./link-monitoring.js";
 import type { SteadyClock } from "./runtime/clock.js";
 import { parseJson } from "./runtime/http-client.js";
 import type { Logger } from "./runtime/log.js";
@@ -41,12 +41,6 @@
 const concernsMembership = (key: string): boolean =>
   key === keys.leader || key.startsWith(prefixes.members) || key.startsWith(prefixes.shards);
 
-/** A shard in this process's hands, and the version of its record that was last found to continue its term. */
-interface OwnedShard {
-  owner: ShardOwner;
-  token: number;
-}
-
 /** One controller process: owns the actors, passes on what the records and peers say, and routes requests. */
 export class Controller {
   private readonly replica = new Replica();
@@ -62,7 +56,10 @@
   private readonly router: ReportRouter;
   private readonly summaries: SummaryExchange;
   private readonly shardAssignment: ShardAssignment;
-  private readonly shardOwners = new Map<number, OwnedShard>();
+  private readonly shards: ShardHost;
+  private readonly links: LinkMonitoring;
+  /** This life of the controller, told from earlier ones. */
+  private readonly incarnation = crypto.randomUUID();
   private lastPing = -Infinity;
   private readonly figures: Timings;
   private typesByName = new Map<string, MachineType>();
@@ -72,10 +69,12 @@
     private readonly settings: Settings,
     private readonly operator: OperatorSettings,
     private readonly log: Logger,
-    around: Dependencies = dependenciesOf(settings, log),
+    network: Dependencies = dependenciesOf(settings, log),
   ) {
-    const { clock } = around;
+    const { clock } = network;
     const figures = (this.figures = deriveTimings(settings, operator));
+    this.links = new LinkMonitoring(settings, operator, figures, this.incarnation, network, log);
+    const around = this.links.watch(network);
     this.clock = clock;
     this.peers = around.peers;
     this.fleet = new Fleet(log);
@@ -96,33 +95,14 @@
       REPORT_TIMEOUT_S * 1000,
     );
     this.membership = this.makeMembership();
+    this.shards = this.makeShardHost();
+    this.links.attach({ membership: this.membership, shards: this.shards, cloud, peers: this.peers });
     this.autoscaler = this.makeAutoscaler(cloud);
     this.jobs = this.makeJobService();
     this.requestHandler = new JobRequestHandler(this.jobs);
     this.relay = this.makeRelay();
-    const askNode = (node: string | null, request: PeerRequest): Promise<PeerReply> =>
-      this.askNode(node, request);
-    this.router = new ReportRouter({
-      node: settings.node,
-      fleet: this.fleet,
-      membership: this.membership,
-      autoscaler: this.autoscaler,
-      ownerOf: (shard) => this.shardOwners.get(shard)?.owner,
-      askNode,
-      clock,
-      misroutedSpacingMs: figures.misroutedSpacingMs,
-    });
-    this.summaries = new SummaryExchange({
-      assignment: this.shardAssignment,
-      state: this.state,
-      leader: () => this.membership.leader(),
-      askNode,
-      clock,
-      log,
-      spacingMs: operator.passSpacingMs,
-      valueBytes: settings.state.valueBytes,
-      queueTimeoutMs: figures.submitQueueTimeoutMs,
-    });
+    this.router = this.makeRouter();
+    this.summaries = this.makeSummaryExchange();
     this.replica.onChange((changes) => {
       this.follow(changes);
     });
@@ -130,7 +110,7 @@
 
   private makeMembership(): Membership {
     return new Membership(
-      { node: this.settings.node, incarnation: crypto.randomUUID() },
+      { node: this.settings.node, incarnation: this.incarnation },
       this.settings.controllers,
       this.settings.controllers,
       this.figures,
@@ -139,15 +119,63 @@
       this.clock,
       {
         ownership: () => {
-          this.followOwnership();
+          this.shards.followOwnership();
         },
         askHandOver: (owner, shard, to) =>
           void this.askNode(owner, { handOver: { shard, to } }).catch(() => undefined),
+        unsuited: (node) => this.links.policy.cannotHearWorkers(node),
       },
       this.log,
     );
   }
 
+  private makeRouter(): ReportRouter {
+    return new ReportRouter({
+      node: this.settings.node,
+      fleet: this.fleet,
+      membership: this.membership,
+      autoscaler: this.autoscaler,
+      ownerOf: (shard) => this.shards.ownerOf(shard),
+      askNode: (node, request) => this.askNode(node, request),
+      clock: this.clock,
+      misroutedSpacingMs: this.figures.misroutedSpacingMs,
+      links: this.links,
+    });
+  }
+
+  private makeSummaryExchange(): SummaryExchange {
+    return new SummaryExchange({
+      assignment: this.shardAssignment,
+      state: this.state,
+      leader: () => this.membership.leader(),
+      askNode: (node, request) => this.askNode(node, request),
+      clock: this.clock,
+      log: this.log,
+      spacingMs: this.operator.passSpacingMs,
+      valueBytes: this.settings.state.valueBytes,
+      queueTimeoutMs: this.figures.submitQueueTimeoutMs,
+    });
+  }
+
+  private makeShardHost(): ShardHost {
+    const { roundMs, preemptMs, quietTicks } = this.figures;
+    return new ShardHost({
+      settings: this.settings,
+      timings: { roundMs, preemptMs, quietTicks, spacingMs: this.operator.passSpacingMs },
+      state: this.state,
+      replica: this.replica,
+      fleet: this.fleet,
+      membership: this.membership,
+      links: this.links.policy,
+      types: () => this.typesByName,
+      sendSummary: (summary) => {
+        this.summaries.send(summary);
+      },
+      clock: this.clock,
+      log: this.log,
+    });
+  }
+
   private makeAutoscaler(cloud: CloudClient): Autoscaler {
     return new Autoscaler(
       this.settings,
@@ -160,6 +188,7 @@
       {
         leadership: () => this.membership.leadership(),
         askOwner: (shard, request) => this.askNode(this.membership.owner(shard), request),
+        mayCallCloud: () => this.links.policy.allows("order"),
       },
       this.log,
     );
@@ -187,7 +216,8 @@
       own: this.requestHandler,
       peers: this.settings.peers.map((p) => p.node),
       ask: (peer, request) => this.forward(peer, request),
-      behind: () => this.behind(),
+      behind: () => this.behind() || !this.links.policy.allows("accept"),
+      nobodyCan: () => this.links.policy.refuses("accept"),
       pauseMs: this.figures.peerMs,
       clock: this.clock,
       log: this.log,
@@ -197,9 +227,13 @@
   /** What users, workers and health checks reach. */
   get door(): AppParts {
     return {
-      users: this.relay,
+      users: this.links.watchUsers(this.relay),
       report: (report) => this.router.route(report),
-      healthy: () => this.healthy(),
+      healthy: () => {
+        this.links.noteUserRequest();
+        return this.healthy();
+      },
+      linkStatus: () => this.links.status(),
       log: this.log,
     };
   }
@@ -270,8 +304,9 @@
 
   private tick(): void {
     this.membership.tell({ kind: "tick" });
-    for (const { owner } of this.shardOwners.values()) owner.tell({ kind: "tick" });
+    this.shards.tick();
     this.autoscaler.tell({ kind: "tick" });
+    this.links.tick();
     if (this.behind()) this.pingPeers();
   }
 
@@ -295,67 +330,14 @@
           .under(prefixes.types)
           .map((entry) => [(entry.value as MachineType).name, entry.value as MachineType]),
       );
-    for (const { owner } of this.shardOwners.values()) owner.tell({ kind: "records", changes });
+    this.shards.followRecords(changes);
     if (changes === null || changes.some((c) => concernsMembership(c.key)))
       this.membership.tell({ kind: "records" });
   }
 
-  /** Starts owners for shards that have become ours and drops those of shards that have not stayed so. */
-  private followOwnership(): void {
-    const { cluster, me } = this.membership;
-    cluster.shards.forEach((record, n) => {
-      const ours = record !== null && record.node === me.node && record.incarnation === me.incarnation;
-      let owned = this.shardOwners.get(n);
-      if (owned && (!ours || !this.membership.continues(n, owned.token))) {
-        this.shardOwners.delete(n);
-        owned.owner.retire();
-        owned = undefined;
-        this.log.info({ shard: n, owner: record?.node }, "shard lost");
-      }
-      if (!ours) return;
-      if (owned) owned.token = record.version;
-      else {
-        this.shardOwners.set(n, this.keep(n, record.version));
-        this.log.info({ shard: n, token: record.version }, "shard owned");
-      }
-    });
-  }
-
-  private keep(n: number, token: number): OwnedShard {
-    const shard = new Shard(
-      n,
-      token,
-      this.clock(),
-      this.settings,
-      () => this.typesByName,
-      this.replica,
-      this.log,
-    );
-    const { roundMs, preemptMs, quietTicks } = this.figures;
-    const figures = { roundMs, preemptMs, quietTicks, spacingMs: this.operator.passSpacingMs };
-    const hooks = {
-      // The token counts only for the owner whose term it belongs to.
-      token: () => {
-        const current = this.membership.token(n);
-        return current === owned.token && this.shardOwners.get(n) === owned ? current : null;
-      },
-      advanceToken: () => void this.membership.tell({ kind: "advance_token", shard: n }),
-      summary: (summary: Summary) => {
-        this.summaries.send(summary);
-      },
-    };
-    const owner = new ShardOwner(
-      shard,
-      figures,
-      this.state,
-      this.replica,
-      this.fleet,
-      this.clock,
-      hooks,
-      this.log,
-    );
-    const owned: OwnedShard = { owner, token };
-    return owned;
+  /** Where views of links come from and go to; null while the monitor is off. */
+  get viewExchange(): ViewExchange | null {
+    return this.peers.viewExchange;
   }
 
   private askNode(node: string | null, request: PeerRequest): Promise<PeerReply> {
@@ -369,7 +351,9 @@
       autoscaler: this.autoscaler,
       membership: this.membership,
       users: this.requestHandler,
-      ownerOf: (shard) => this.shardOwners.get(shard)?.owner,
+      ownerOf: (shard) => this.shards.ownerOf(shard),
+      mayHandOver: (shard) => this.links.policy.tryHandOver(shard),
+      linkStatus: () => this.links.status(),
       recordSummary: (summary) => this.summaries.receive(summary),
     });
   }
--- a/src/http/app.ts
+++ b/src/http/app.ts
@@ -1,6 +1,7 @@
 /** The interface for users, workers and health checks. */
 import Koa, { type Context } from "koa";
 import { BodyTooLarge, parseJson, readAll } from "../runtime/http-client.js";
+import { restrictionLines, statusRows, type LinkStatus } from "../links/status.js";
 import { MAX_BODY_BYTES, paths } from "../wire/index.js";
 import { answerReport, type ReportParts } from "./reports.js";
 import type { UserRequestHandler } from "./users.js";
@@ -9,10 +10,13 @@
 export interface AppParts extends ReportParts {
   users: UserRequestHandler;
   healthy(): boolean;
+  linkStatus(): LinkStatus;
 }
 
 /** When a user that cannot be served now should come again. */
 const RETRY_AFTER_S = "1";
+/** Where operators see the state of this controller's links. */
+const LINKS_PATH = "/links";
 const JSON_TYPE = "application/json; charset=utf-8";
 
 /** The koa application for users, workers and health checks. */
@@ -26,6 +30,10 @@
       return only(ctx, "GET", () => {
         health(ctx, parts);
       });
+    if (ctx.path === LINKS_PATH)
+      return only(ctx, "GET", () => {
+        linkStatus(ctx, parts);
+      });
     if (ctx.path === paths.report)
       return only(ctx, "POST", async () => {
         const { status, body } = await answerReport(await readBody(ctx), parts);
@@ -64,6 +72,18 @@
   answer(ctx, ok ? 200 : 503, { ok });
 }
 
+/** JSON, or plain text for those who ask for it. */
+function linkStatus(ctx: Context, parts: AppParts): void {
+  const status = parts.linkStatus();
+  if (ctx.accepts("application/json", "text/plain") !== "text/plain") {
+    answer(ctx, 200, status);
+    return;
+  }
+  const rows = statusRows(status).map((row) => Object.values(row).join("\t"));
+  ctx.type = "text/plain";
+  ctx.body = `${[`${status.node}: ${status.mode}`, ...rows, ...restrictionLines(status)].join("\n")}\n`;
+}
+
 /** The body's text; undefined where it is too long. */
 async function readBody(ctx: Context): Promise<string | undefined> {
   try {
--- a/src/http/relay.ts
+++ b/src/http/relay.ts
@@ -14,6 +14,8 @@
   ask: (peer: string, request: UserRequest) => Promise<UserAnswer>;
   /** Whether this node is known to be behind, so that asking itself only costs time. */
   behind: () => boolean;
+  /** Whether no controller can answer now, so that asking peers only costs time. */
+  nobodyCan: () => boolean;
   /** How long a peer that could not answer is not asked again. */
   pauseMs: number;
   clock: SteadyClock;
@@ -36,7 +38,7 @@
   async answer(request: UserRequest): Promise<UserAnswer> {
     const { own, behind } = this.parts;
     const first = behind() ? UNAVAILABLE : await own.answer(request);
-    if (first.status !== 503) return first;
+    if (first.status !== 503 || this.parts.nobodyCan()) return first;
     for (const peer of this.candidates()) {
       const answer = await this.askPeer(peer, request);
       if (answer.status !== 503) return answer;
--- /dev/null
+++ b/src/link-monitoring.ts
@@ -0,0 +1,158 @@
+/** Connects the link monitor with the rest of the process, or leaves everything as it is while the monitor is off. */
+import type { CloudClient } from "./cloud/client.js";
+import type { OperatorSettings } from "./config/operator.js";
+import type { Settings } from "./config/settings.js";
+import type { Dependencies } from "./dependencies.js";
+import type { UserRequestHandler } from "./http/users.js";
+import { UNRESTRICTED, type LinkPolicy } from "./links/access.js";
+import type { LinkName, ObservationSink } from "./links/model.js";
+import { LinkMonitor, type LinkMonitorHooks } from "./links/monitor.js";
+import { isCloudTrouble, isUnavailable, ObservedCalls } from "./links/observed-calls.js";
+import { deriveLinkTimings } from "./links/settings.js";
+import { statusWhileOff, type LinkStatus } from "./links/status.js";
+import type { Membership } from "./membership/membership.js";
+import type { PeerNetwork } from "./peers/links.js";
+import { ObservedPeers } from "./peers/observed-network.js";
+import type { Logger } from "./runtime/log.js";
+import type { ShardHost } from "./shard-host.js";
+import type { Timings } from "./timings.js";
+import { HEALTH_CHECK_S, REPORT_TIMEOUT_S } from "./wire/index.js";
+
+/** So many missed health checks make users' load balancer silent. */
+const SILENT_HEALTH_CHECKS = 5;
+
+/** The actors that the monitor asks and tells; they are made after it. */
+export interface MonitoredParts {
+  membership: Membership;
+  shards: ShardHost;
+  cloud: CloudClient;
+  peers: PeerNetwork;
+}
+
+/** The link monitor of one controller, if operators have switched it on. */
+export class LinkMonitoring {
+  private readonly monitor: LinkMonitor | null;
+  private parts: MonitoredParts | null = null;
+
+  constructor(
+    private readonly settings: Settings,
+    operator: OperatorSettings,
+    timings: Timings,
+    incarnation: string,
+    { clock }: Dependencies,
+    log: Logger,
+  ) {
+    const { links } = operator;
+    const { workers, peers, cloud, controllers } = settings;
+    const { callMs, tickMs, shardMovePeriodMs } = timings;
+    this.monitor =
+      links.mode === "off"
+        ? null
+        : new LinkMonitor(
+            {
+              node: settings.node,
+              incarnation,
+              peers: peers.map((peer) => peer.node),
+              mode: links.mode,
+              timings: deriveLinkTimings(links, { ...workers, callMs, tickMs, shardMovePeriodMs }),
+              probes: { cloudRps: cloud.rps, controllers, share: links.probe_share },
+              // A worker that gets no answer goes on to another controller after its time-out.
+              misroutedWindowMs: REPORT_TIMEOUT_S * 1000 + 2 * workers.reportMs,
+              maxMachines: operator.maxMachines,
+              usersSilentMs: SILENT_HEALTH_CHECKS * HEALTH_CHECK_S * 1000,
+              clock,
+            },
+            this.hooks(),
+            log,
+          );
+  }
+
+  /** The policy as it applies right now. */
+  get policy(): LinkPolicy {
+    return this.monitor ?? UNRESTRICTED;
+  }
+
+  /** The actors exist from now on. */
+  attach(parts: MonitoredParts): void {
+    this.parts = parts;
+    if (this.monitor !== null) parts.peers.viewExchange = this.monitor;
+  }
+
+  /** The network, watched. */
+  watch(around: Dependencies): Dependencies {
+    if (this.monitor === null) return around;
+    const { clock } = around;
+    const { sink } = this;
+    const state = { link: "state" as const, refused: isUnavailable, sink, clock };
+    const cloud = { link: "cloud" as const, refused: isCloudTrouble, sink, clock };
+    return {
+      clock,
+      state: new ObservedCalls(around.state, { ...state, timed: true }),
+      watches: new ObservedCalls(around.watches, { ...state, timed: false }),
+      cloud: new ObservedCalls(around.cloud, { ...cloud, timed: false }),
+      peers: new ObservedPeers(around.peers, sink),
+    };
+  }
+
+  /** Users' requests, watched. */
+  watchUsers(users: UserRequestHandler): UserRequestHandler {
+    if (this.monitor === null) return users;
+    return {
+      answer: (request) => {
+        this.noteUserRequest();
+        return users.answer(request);
+      },
+    };
+  }
+
+  /** A user's request or a health check came. */
+  noteUserRequest(): void {
+    if (this.monitor !== null) this.sink({ kind: "delivered", link: "users", direction: "inbound" });
+  }
+
+  /** A report of a worker of an own shard came; whether it shows that an answer of this term was taken. */
+  noteReport(provesAnswer: boolean): void {
+    if (this.monitor === null) return;
+    this.sink({ kind: "delivered", link: "workers", direction: "inbound" });
+    if (provesAnswer) this.sink({ kind: "delivered", link: "workers", direction: "outbound" });
+  }
+
+  /** A worker that follows the token of another controller's shard came here. */
+  noteMisrouted(shard: number, host: string): void {
+    this.monitor?.tell({ kind: "misrouted", shard, host });
+  }
+
+  tick(): void {
+    this.monitor?.tell({ kind: "tick" });
+  }
+
+  status(): LinkStatus {
+    return this.monitor?.status() ?? statusWhileOff(this.settings.node);
+  }
+
+  private readonly sink: ObservationSink = (observation) => {
+    this.monitor?.tell({ kind: "observed", observation });
+  };
+
+  private hooks(): LinkMonitorHooks {
+    return {
+      ownedShards: () => this.parts?.shards.statuses() ?? [],
+      leads: () => this.parts !== null && this.parts.membership.leadership() !== null,
+      isMember: (node) => this.parts?.membership.cluster.members.has(node) ?? false,
+      probe: (link) => {
+        this.probe(link);
+      },
+      handOver: (shard, to) => void this.parts?.membership.tell({ kind: "hand_over", shard, to }),
+      resign: () => void this.parts?.membership.tell({ kind: "resign" }),
+    };
+  }
+
+  /** Whatever comes of a probe is seen where all calls are. */
+  private probe(link: LinkName): void {
+    if (this.parts === null) return;
+    const { cloud, peers } = this.parts;
+    if (link === "cloud" && cloud.mayCall()) cloud.types().catch(() => undefined);
+    const peer = /^peer:(.+)$/.exec(link)?.[1];
+    if (peer !== undefined) peers.ask(peer, { ping: {} }).catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/src/links/diagnosis.ts
@@ -0,0 +1,43 @@
+/** From this controller's own evidence and its peers' votes to the reported state. Pure. */
+import type { Direction, Evidence, LinkName, LinkState, Scope } from "./model.js";
+import type { Votes } from "./view-book.js";
+
+/** What one controller sees by itself, and what its peers say. */
+export interface Finding {
+  link: LinkName;
+  direction: Direction;
+  state: LinkState;
+  evidence: Evidence;
+  /** Whether this process stood still lately: whatever it missed meanwhile proves nothing. */
+  stalled: boolean;
+  votes: Votes;
+}
+
+/** What is reported: the state and what it rests on. */
+export interface Diagnosis {
+  state: LinkState;
+  evidence: Evidence;
+  scope: Scope;
+}
+
+/**
+ * An outage for all, a refusal of this controller alone and a stall of its own look alike from one controller. Peers'
+ * views tell them apart; where they do not, silence alone counts as unknown and not as down.
+ */
+export function diagnose(finding: Finding): Diagnosis {
+  const { state, evidence, votes } = finding;
+  if (state !== "down") return { state, evidence, scope: "none" };
+  if (finding.stalled) return { state: "unknown", evidence: "process_stalled", scope: "unclear" };
+  const scope = scopeOf(votes);
+  // Workers that report nowhere may have ended, and users may just not ask.
+  if (evidence === "silent" && scope !== "this_node")
+    return { state: "unknown", evidence: "uncorroborated", scope };
+  return { state, evidence, scope };
+}
+
+/** The majority of those who can say; a tie, or nobody, leaves it unclear. */
+function scopeOf({ working, failing }: Votes): Scope {
+  if (working.length > failing.length) return "this_node";
+  if (failing.length > working.length) return "everyone";
+  return "unclear";
+}
--- /dev/null
+++ b/src/links/observed-calls.ts
@@ -0,0 +1,48 @@
+/** Lets the link monitor see calls that are made anyway, without changing them. */
+import type { SteadyClock } from "../runtime/clock.js";
+import { NoAnswer, type HttpAnswer, type JsonCalls } from "../runtime/http-client.js";
+import type { LinkName, ObservationSink } from "./model.js";
+
+const UNAVAILABLE = 503;
+
+/** Whether an answer says that the service will not serve. */
+export type RefusalCheck = (answer: HttpAnswer) => boolean;
+
+/** The state service refuses with 503 and does not execute the request. */
+export const isUnavailable: RefusalCheck = ({ status }) => status === UNAVAILABLE;
+
+/** A cloud without capacity answers with the same status as one in trouble; it works all the same. */
+export const isCloudTrouble: RefusalCheck = ({ status, body }) =>
+  status === UNAVAILABLE && (body as { error?: unknown } | undefined)?.error !== "no capacity";
+
+/** What calls are watched as. */
+export interface ObservedCallsOptions {
+  link: LinkName;
+  refused: RefusalCheck;
+  sink: ObservationSink;
+  clock: SteadyClock;
+  /** Whether the time that an answer takes says anything: watches stay open on purpose. */
+  timed: boolean;
+}
+
+/** Calls whose outcomes are told to the monitor. */
+export class ObservedCalls implements JsonCalls {
+  constructor(
+    private readonly calls: JsonCalls,
+    private readonly options: ObservedCallsOptions,
+  ) {}
+
+  async call(method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer> {
+    const { link, refused, sink, clock, timed } = this.options;
+    const sentAt = clock();
+    try {
+      const answer = await this.calls.call(method, path, body, timeoutMs);
+      if (refused(answer)) sink({ kind: "refused", link });
+      else sink({ kind: "answered", link, latencyMs: timed ? clock() - sentAt : 0 });
+      return answer;
+    } catch (err) {
+      if (err instanceof NoAnswer) sink({ kind: "unanswered", link });
+      throw err;
+    }
+  }
+}
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -21,6 +21,10 @@
   gatherMs: number;
   /** Whether the shard period has passed since the last move. */
   mayMove: boolean;
+  /** Whether this process may take vacant leadership: not soon after it has given it up for another's sake. */
+  mayLead: boolean;
+  /** Whether a controller is known not to be reached by workers: it gets shards only if all are. */
+  unsuited: (node: string) => boolean;
 }
 
 /** What this process should try to change in the records of who leads and owns. */
@@ -28,7 +32,8 @@
   const { me, cluster } = view;
   const actions: MembershipAction[] = [];
   // Guards against losing the time of a whole membership lease: a process that came back knows that its old self is dead.
-  if (cluster.leader === null || (cluster.leader.node === me.node && !sameProcess(cluster.leader, me)))
+  const ownOldSelf = cluster.leader?.node === me.node && !sameProcess(cluster.leader, me);
+  if ((cluster.leader === null && view.mayLead) || ownOldSelf)
     actions.push({ kind: "lead", over: cluster.leader });
   cluster.shards.forEach((shard, n) => {
     if (shard !== null && shard.node === me.node && !sameProcess(shard, me))
@@ -42,12 +47,14 @@
   const { cluster } = view;
   const members = [...cluster.members.values()].sort((a, b) => (a.node < b.node ? -1 : 1));
   if (members.length === 0) return [];
+  const suited = members.filter((member) => !view.unsuited(member.node));
+  const heirs = suited.length > 0 ? suited : members;
   const load = new Map(members.map((m) => [m.node, 0]));
   for (const shard of cluster.shards) {
     const count = shard === null ? undefined : load.get(shard.node);
     if (shard !== null && count !== undefined) load.set(shard.node, count + 1);
   }
-  const byLoad = (): ProcessRecord[] => [...members].sort((a, b) => load.get(a.node)! - load.get(b.node)!);
+  const byLoad = (): ProcessRecord[] => [...heirs].sort((a, b) => load.get(a.node)! - load.get(b.node)!);
   const actions: MembershipAction[] = [];
   const gathered = members.length >= view.controllers || view.ledMs >= view.gatherMs;
   cluster.shards.forEach((shard, n) => {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -39,15 +39,22 @@
   | { kind: "lease_ended" }
   | { kind: "acted" }
   | { kind: "advance_token"; shard: number }
-  | { kind: "hand_over"; shard: number; to: string };
+  | { kind: "hand_over"; shard: number; to: string }
+  /** Another controller is better placed to lead. */
+  | { kind: "resign" };
 
 /** What membership needs of the rest of the process. */
 export interface MembershipHooks {
   /** Which shards this process owns may have changed. */
   ownership(): void;
   askHandOver(owner: string, shard: number, to: string): void;
+  /** Whether a controller is known not to be reached by workers. */
+  unsuited(node: string): boolean;
 }
 
+/** So many membership leases a process that gave leadership up leaves it to others. */
+const ABSTAIN_LEASES = 2;
+
 /** How many renewals may be under way at once. */
 const MAX_RENEWALS = 3;
 
@@ -64,6 +71,7 @@
   private lastRenewal = -Infinity;
   private ledSince: number | null = null;
   private lastMove = -Infinity;
+  private abstainsUntil = -Infinity;
   private busy = false;
   /** A shard to be passed on as soon as nothing else is under way. */
   private askedHandOver: { shard: number; to: string } | null = null;
@@ -156,6 +164,9 @@
         this.askedHandOver = { shard: message.shard, to: message.to };
         this.handOverAsked();
         return;
+      case "resign":
+        void this.resign();
+        return;
     }
   }
 
@@ -251,6 +262,8 @@
       ledMs: this.ledSince === null ? 0 : now - this.ledSince,
       gatherMs: this.figures.membershipLeaseMs,
       mayMove: now - this.lastMove >= this.figures.shardMovePeriodMs,
+      mayLead: now >= this.abstainsUntil,
+      unsuited: (node) => this.hooks.unsuited(node),
     });
     if (actions.length === 0) return;
     this.busy = true;
@@ -307,6 +320,26 @@
     }
   }
 
+  /**
+   * Gives leadership up on the condition of its own record: a copy that is carried out late removes nobody else's. Until
+   * the feed shows it this process may still lead, and what it writes as the leader is guarded by the same version.
+   */
+  private async resign(): Promise<void> {
+    const version = this.leadership();
+    if (version === null || this.busy) return;
+    this.busy = true;
+    this.abstainsUntil = this.clock() + ABSTAIN_LEASES * this.figures.membershipLeaseMs;
+    try {
+      const guards = [{ key: keys.leader, version }];
+      const commit = await this.state.commit(guards, [{ remove: keys.leader }], "ownership");
+      if (commit.ok) this.log.info({ version }, "leadership given up");
+    } catch (err) {
+      this.log.debug({ err: (err as Error).message }, "leadership not known to be given up");
+    } finally {
+      this.tell({ kind: "acted" });
+    }
+  }
+
   private handOverAsked(): void {
     const asked = this.askedHandOver;
     if (asked === null || this.busy) return;
--- a/src/peer-requests.ts
+++ b/src/peer-requests.ts
@@ -1,6 +1,7 @@
 /** Answers what other controllers ask: each request goes to the actor that it is for. */
 import type { Autoscaler } from "./autoscaling/autoscaler.js";
 import type { UserRequestHandler } from "./http/users.js";
+import type { LinkStatus } from "./links/status.js";
 import type { Membership } from "./membership/membership.js";
 import type { PeerReply, PeerRequest, ShardLoadReport, Summary } from "./peers/messages.js";
 import type { ShardOwner } from "./placement/shard-owner.js";
@@ -16,6 +17,10 @@
   users: UserRequestHandler;
   /** The owner of a shard, if it is in this process. */
   ownerOf: (shard: number) => ShardOwner | undefined;
+  /** Whether a shard may be handed over for the sake of its workers. */
+  mayHandOver: (shard: number) => boolean;
+  /** The state of this controller's links. */
+  linkStatus: () => LinkStatus;
   /** Takes in how full a shard is, and tells how full all are. */
   recordSummary: (summary: Summary) => ShardLoadReport[];
 }
@@ -32,6 +37,7 @@
     await autoscaler.ask<boolean>((reply) => ({ kind: "summary", summary, reply }));
     return { loads: { notes } };
   }
+  if ("linkStatus" in request) return { linkReport: { json: JSON.stringify(targets.linkStatus()) } };
   if ("forward" in request) return forwarded(request.forward, users);
   if ("lookup" in request) {
     const { shard, job } = request.lookup;
@@ -44,7 +50,8 @@
   if ("misroutedHeartbeat" in request) {
     const { shard, cameTo } = request.misroutedHeartbeat;
     // One worker alone says little; if none comes here any more, the shard is better off where they go.
-    if (ownerOf(shard)?.unheard) membership.tell({ kind: "hand_over", shard, to: cameTo });
+    if (ownerOf(shard)?.unheard && targets.mayHandOver(shard))
+      membership.tell({ kind: "hand_over", shard, to: cameTo });
   }
   if ("cancelled" in request) {
     const { shard, job } = request.cancelled;
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -12,6 +12,14 @@
 /** Answers another controller's request. */
 export type PeerHandler = (request: PeerRequest) => Promise<PeerReply>;
 
+/** Views of links, which ride on frames that are sent anyway. */
+export interface ViewExchange {
+  /** What to attach to the next frame to a controller, if it is time for a view. */
+  outgoing(node: string): Uint8Array | undefined;
+  /** Takes in a view, and tells which controller it is from; null if it is dropped. */
+  incoming(view: Uint8Array): string | null;
+}
+
 /** Past this many unanswered questions a peer counts as silent: nothing may queue without bound. */
 const MAX_WAITING = 256;
 
@@ -29,7 +37,10 @@
   private connectedAt = -Infinity;
   private readonly waiting = new Map<number, (reply: PeerReply | null) => void>();
 
+  viewExchange: ViewExchange | null = null;
+
   constructor(
+    private readonly node: string,
     private readonly address: string,
     private readonly timeoutMs: number,
     private readonly log: Logger,
@@ -56,7 +67,8 @@
         else resolve(reply);
       };
       this.waiting.set(id, settle);
-      this.connected().write(frameBytes({ id, reply: false, body: request }));
+      const linkView = this.viewExchange?.outgoing(this.node);
+      this.connected().write(frameBytes({ id, reply: false, body: request, ...(linkView && { linkView }) }));
     });
   }
 
@@ -76,6 +88,7 @@
       objectMode: true,
       write: (frame: Frame, _encoding, done) => {
         this.heardAt = performance.now();
+        if (frame.linkView) this.viewExchange?.incoming(frame.linkView);
         if (frame.reply) this.waiting.get(frame.id)?.(frame.body);
         done();
       },
@@ -95,6 +108,8 @@
   ask(node: string, request: PeerRequest, timeoutMs?: number): Promise<PeerReply>;
   /** When any peer last answered anything; steady time. */
   readonly heardAt: number;
+  /** Where views of links come from and go to; null while nobody watches links. */
+  viewExchange: ViewExchange | null;
   /** Answers the others' questions from now on; resolves to the port. */
   listen(address: string, handler: PeerHandler): Promise<number>;
   close(): void;
@@ -104,6 +119,7 @@
 export class Peers implements PeerNetwork {
   private readonly links: Map<string, PeerLink>;
   private server: Server | null = null;
+  private exchange: ViewExchange | null = null;
   private readonly sockets = new Set<Socket>();
 
   constructor(
@@ -111,7 +127,7 @@
     timeoutMs: number,
     private readonly log: Logger,
   ) {
-    this.links = new Map(peers.map((p) => [p.node, new PeerLink(p.address, timeoutMs, log)]));
+    this.links = new Map(peers.map((p) => [p.node, new PeerLink(p.node, p.address, timeoutMs, log)]));
   }
 
   async ask(node: string, request: PeerRequest, timeoutMs?: number): Promise<PeerReply> {
@@ -124,6 +140,15 @@
     return Math.max(...[...this.links.values()].map((link) => link.heardAt));
   }
 
+  get viewExchange(): ViewExchange | null {
+    return this.exchange;
+  }
+
+  set viewExchange(exchange: ViewExchange | null) {
+    this.exchange = exchange;
+    for (const link of this.links.values()) link.viewExchange = exchange;
+  }
+
   listen(address: string, handler: PeerHandler): Promise<number> {
     this.server = createServer((socket) => {
       this.serve(socket, handler);
@@ -152,8 +177,13 @@
           return;
         }
         open++;
+        // The answer carries a view where the question did, since only then it is known who asks.
+        const asker = frame.linkView ? this.exchange?.incoming(frame.linkView) : null;
         handler(frame.body)
-          .then((body) => void socket.write(frameBytes({ id: frame.id, reply: true, body })))
+          .then((body) => {
+            const linkView = asker ? this.exchange?.outgoing(asker) : undefined;
+            socket.write(frameBytes({ id: frame.id, reply: true, body, ...(linkView && { linkView }) }));
+          })
           .catch((err: unknown) => socket.destroy(err as Error))
           .finally(() => {
             open--;
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -25,9 +25,17 @@
     Cordon cordon = 15;
     Cancelled cancelled = 16;
     Transfer transfer = 17;
+    LinkStatusQuery link_status = 19;
+    LinkStatusReport link_report = 20;
   }
+  // The sender's view of its links (links/views.ts), checked apart: an odd one must not cost the frame.
+  bytes link_view = 18;
 }
 
+// An operator's command asks for the state of a controller's links; the report is JSON (links/status.ts).
+message LinkStatusQuery {}
+message LinkStatusReport { string json = 1; }
+
 // An owner tells the leader what waits in a shard and how its machines are: the leader sizes by it.
 message Summary {
   uint32 shard = 1;
@@ -205,24 +213,31 @@
   | { handOver: { shard: number; to: string } }
   | { misroutedHeartbeat: { shard: number; cameTo: string } }
   | { lookup: { shard: number; job: string } }
-  | { forward: { method: string; path: string; body: string } };
+  | { forward: { method: string; path: string; body: string } }
+  | { linkStatus: Record<string, never> };
 
 /** The answer to a request between controllers. */
 export type PeerReply =
   | { loads: { notes: ShardLoadReport[] } }
   | { accepted: { hosts: string[] } }
   | { counts: { known: boolean; done: number; running: number } }
-  | { answer: { status: number; body: string } };
+  | { answer: { status: number; body: string } }
+  | { linkReport: { json: string } };
 
 /** One request or answer on a connection between controllers. */
-export type Frame =
-  { id: number; reply: false; body: PeerRequest } | { id: number; reply: true; body: PeerReply };
+export type Frame = (
+  { id: number; reply: false; body: PeerRequest } | { id: number; reply: true; body: PeerReply }
+) & {
+  /** The sender's view of its links, encoded. */
+  linkView?: Uint8Array;
+};
 
 const frameType = protobuf.parse(schema).root.lookupType("fernpond.Frame");
 
 /** Encodes a frame as protobuf. */
 export function encodeFrame(frame: Frame): Uint8Array {
-  const message = frameType.fromObject({ id: frame.id, reply: frame.reply, ...frame.body });
+  const { id, reply, body, linkView } = frame;
+  const message = frameType.fromObject({ id, reply, ...body, ...(linkView && { linkView }) });
   return frameType.encode(message).finish();
 }
 
@@ -236,5 +251,7 @@
   });
   const kind = plain.body as string | undefined;
   if (kind === undefined) throw new Error("a frame without a body");
-  return { id: plain.id, reply: plain.reply, body: { [kind]: plain[kind] } } as unknown as Frame;
+  const frame = { id: plain.id, reply: plain.reply, body: { [kind]: plain[kind] } } as unknown as Frame;
+  const linkView = plain.linkView as Uint8Array;
+  return linkView.byteLength > 0 ? { ...frame, linkView } : frame;
 }
--- /dev/null
+++ b/src/peers/observed-network.ts
@@ -0,0 +1,45 @@
+/** Lets the link monitor see what passes between controllers anyway, without changing it. */
+import { peerLink, type ObservationSink } from "../links/model.js";
+import { PeerSilent, type PeerHandler, type PeerNetwork, type ViewExchange } from "./links.js";
+import type { PeerReply, PeerRequest } from "./messages.js";
+
+/** A network whose questions and answers are told to the monitor. */
+export class ObservedPeers implements PeerNetwork {
+  constructor(
+    private readonly network: PeerNetwork,
+    private readonly sink: ObservationSink,
+  ) {}
+
+  get heardAt(): number {
+    return this.network.heardAt;
+  }
+
+  get viewExchange(): ViewExchange | null {
+    return this.network.viewExchange;
+  }
+
+  set viewExchange(exchange: ViewExchange | null) {
+    this.network.viewExchange = exchange;
+  }
+
+  async ask(node: string, request: PeerRequest, timeoutMs?: number): Promise<PeerReply> {
+    const link = peerLink(node);
+    try {
+      const reply = await this.network.ask(node, request, timeoutMs);
+      this.sink({ kind: "delivered", link, direction: "outbound" });
+      this.sink({ kind: "delivered", link, direction: "inbound" });
+      return reply;
+    } catch (err) {
+      if (err instanceof PeerSilent) this.sink({ kind: "unanswered", link });
+      throw err;
+    }
+  }
+
+  listen(address: string, handler: PeerHandler): Promise<number> {
+    return this.network.listen(address, handler);
+  }
+
+  close(): void {
+    this.network.close();
+  }
+}
--- a/src/placement/shard-owner.ts
+++ b/src/placement/shard-owner.ts
@@ -14,6 +14,7 @@
 import { commandsToWire, type Change, type Guard, type WorkerReport, type Write } from "../wire/index.js";
 import type { Completion } from "./completion-log.js";
 import type { Shard } from "./shard.js";
+import { withoutClaims } from "./summary.js";
 
 /** The owner's answer to a worker's report. */
 export type ReportAnswer =
@@ -45,6 +46,10 @@
   token(): number | null;
   advanceToken(): void;
   summary(summary: Summary): void;
+  /** Whether tasks may be started and stopped now, as far as links go. */
+  mayPlace(): boolean;
+  /** Whether machines may be selected for removal now, as far as links go. */
+  mayGiveBack(): boolean;
 }
 
 /** Durations that a shard owner goes by. */
@@ -102,6 +107,11 @@
     return this.quietTicks > this.figures.quietTicks;
   }
 
+  /** How many machines should report here. */
+  get expectedReporters(): number {
+    return this.shard.expectedReporters;
+  }
+
   protected override receive(message: ShardOwnerMessage): void {
     switch (message.kind) {
       case "records":
@@ -125,7 +135,8 @@
         message.reply(this.shard.counts(message.job));
         return;
       case "drain":
-        void this.leave(message.hosts, true, (hosts) => this.toDrain(hosts), message.reply);
+        if (!this.hooks.mayGiveBack()) message.reply([]);
+        else void this.leave(message.hosts, true, (hosts) => this.toDrain(hosts), message.reply);
         return;
       case "cancelled":
         this.shard.cancelled(message.job);
@@ -164,11 +175,7 @@
     const commands = this.shard.report(report, now);
     if (commands === null) return { kind: "refused" };
     this.noteUp();
-    const placed =
-      this.shard.wantsRound && now >= this.nextRoundAt
-        ? this.place(token)
-        : this.shard.placeOn(report.host, token, now) > 0;
-    if (placed) {
+    if (this.hooks.mayPlace() && this.placeAtReport(report.host, token, now)) {
       const known = new Set(commands.filter((c) => c.op === "start").map((c) => c.attempt));
       for (const start of this.shard.startsFor(report.host))
         if (!known.has(start.attempt)) commands.push(start);
@@ -177,6 +184,11 @@
     return { kind: "commands", body: commandsToWire(token, commands) };
   }
 
+  private placeAtReport(host: string, token: number, now: number): boolean {
+    if (this.shard.wantsRound && now >= this.nextRoundAt) return this.place(token);
+    return this.shard.placeOn(host, token, now) > 0;
+  }
+
   private tick(): void {
     const now = this.clock();
     const token = this.currentToken();
@@ -186,8 +198,10 @@
     if (this.shard.attemptsExhausted) this.hooks.advanceToken();
     this.noteUp();
     this.shard.drainNoticed();
-    this.place(token);
-    this.preempt(now);
+    if (this.hooks.mayPlace()) {
+      this.place(token);
+      this.preempt(now);
+    }
     this.flush();
     if (now - this.lastSummary >= this.figures.spacingMs) {
       this.lastSummary = now;
@@ -197,7 +211,7 @@
           { shard: this.shard.n, ...summary.load, ...this.shard.usage(), demand: summary.demand },
           "load",
         );
-      this.hooks.summary(summary);
+      this.hooks.summary(this.hooks.mayPlace() ? summary : withoutClaims(summary));
     }
   }
 
--- a/src/placement/shard.ts
+++ b/src/placement/shard.ts
@@ -49,6 +49,8 @@
   private readonly tokens: Set<number>;
   private readonly failures: FailureTracker;
   private readonly leaseMs: number;
+  /** How many machines have spoken and are not silent, as of the last look for silent ones: these should report. */
+  expectedReporters = 0;
 
   constructor(
     n: number,
@@ -140,10 +142,15 @@
 
   /** Ends what can be proven over by the passing of time. */
   expire(now: number): void {
+    this.expectedReporters = 0;
     for (const machine of this.machines.values()) {
       // Before the first report in this term, an earlier owner may have answered until the term began.
       const since = machine.lastReportAt ?? (machine.awaitsRecovery ? this.startedAt : machine.spokeAt);
-      if (since === null || machine.silentSince !== null || now - since <= this.leaseMs) continue;
+      if (since === null || machine.silentSince !== null) continue;
+      if (now - since <= this.leaseMs) {
+        this.expectedReporters++;
+        continue;
+      }
       machine.silentSince = now;
       const lost = machine.placements.size;
       releaseAll(machine);
--- a/src/placement/summary.ts
+++ b/src/placement/summary.ts
@@ -1,5 +1,5 @@
 /** What an owner tells the leader of its shard: how full it is, what it is short of, how its machines are. Pure. */
-import type { Demand, MachineSummary, ShardLoad } from "../peers/messages.js";
+import type { Demand, MachineSummary, ShardLoad, Summary } from "../peers/messages.js";
 import type { Job, Machine, Placement } from "../workers/model.js";
 import { uncovered, type Uncovered } from "./forecast.js";
 import { allows, slotsOn, startable, teamUsage, underLimit, unseenUsage } from "./capacity.js";
@@ -76,6 +76,17 @@
   return [...groups.values()];
 }
 
+/**
+ * What an owner that cannot start anything tells: no machines are rented for it, no jobs pass to it, and machines that it
+ * does not hear are not returned on its word.
+ */
+export function withoutClaims(summary: Summary): Summary {
+  const machines = summary.machines.map((machine): MachineSummary =>
+    machine.state === "silent" ? { ...machine, state: "busy" } : machine,
+  );
+  return { ...summary, machines, demand: [], rooms: [] };
+}
+
 /** One machine as the leader is told of it. */
 export function summarise(machine: Machine, now: number): MachineSummary {
   const { host, emptyReports } = machine;
--- a/src/report-router.ts
+++ b/src/report-router.ts
@@ -1,6 +1,7 @@
 /** Brings workers' reports to the owner of their machine's shard. */
 import type { Autoscaler } from "./autoscaling/autoscaler.js";
 import type { Routed } from "./http/reports.js";
+import type { LinkMonitoring } from "./link-monitoring.js";
 import type { Membership } from "./membership/membership.js";
 import type { PeerReply, PeerRequest } from "./peers/messages.js";
 import type { ReportAnswer, ShardOwner } from "./placement/shard-owner.js";
@@ -20,6 +21,7 @@
   clock: SteadyClock;
   /** How often an owner is told at most that its workers come here. */
   misroutedSpacingMs: number;
+  links: Pick<LinkMonitoring, "noteReport" | "noteMisrouted">;
 }
 
 /** Answers reports of this process's shards, and redirects all others. */
@@ -41,6 +43,7 @@
     }
     const owner = this.parts.ownerOf(record.shard);
     if (owner === undefined) this.reportMisrouted(record.shard, report);
+    else this.parts.links.noteReport(report.token === this.parts.membership.token(record.shard));
     if (owner === undefined || owner.writableNeedDrain) return this.redirect(record.shard);
     const answer = await owner.ask<ReportAnswer>((reply) => ({ kind: "report", report, reply }));
     return answer.kind === "commands" ? answer : this.redirect(record.shard);
@@ -54,6 +57,7 @@
   private reportMisrouted(shard: number, report: WorkerReport): void {
     const owner = this.parts.membership.owner(shard);
     if (owner === null || report.token !== this.parts.membership.cluster.shards[shard]?.version) return;
+    this.parts.links.noteMisrouted(shard, report.host);
     const now = this.parts.clock();
     if (now - (this.misroutedAt.get(shard) ?? -Infinity) < this.parts.misroutedSpacingMs) return;
     this.misroutedAt.set(shard, now);
--- /dev/null
+++ b/src/shard-host.ts
@@ -0,0 +1,102 @@
+/** The shards in this process's hands: an owner actor for each, from when the records name this process until they do not. */
+import type { Settings } from "./config/settings.js";
+import type { LinkPolicy } from "./links/access.js";
+import type { OwnedShardStatus } from "./links/remedies.js";
+import type { Membership } from "./membership/membership.js";
+import type { Summary } from "./peers/messages.js";
+import { Shard } from "./placement/shard.js";
+import { ShardOwner, type ShardOwnerTimings } from "./placement/shard-owner.js";
+import type { SteadyClock } from "./runtime/clock.js";
+import type { Logger } from "./runtime/log.js";
+import type { StateClient } from "./state/client.js";
+import type { Replica } from "./state/replica.js";
+import type { Change, MachineType } from "./wire/index.js";
+import type { Fleet } from "./workers/fleet.js";
+
+/** What the host needs of the rest of the process. */
+export interface ShardHostParts {
+  settings: Settings;
+  timings: ShardOwnerTimings;
+  state: StateClient;
+  replica: Replica;
+  fleet: Fleet;
+  membership: Membership;
+  links: LinkPolicy;
+  types: () => Map<string, MachineType>;
+  sendSummary: (summary: Summary) => void;
+  clock: SteadyClock;
+  log: Logger;
+}
+
+/** A shard in this process's hands, and the version of its record that was last found to continue its term. */
+interface OwnedShard {
+  owner: ShardOwner;
+  token: number;
+}
+
+/** Makes and retires the owners of this process's shards. */
+export class ShardHost {
+  private readonly shards = new Map<number, OwnedShard>();
+
+  constructor(private readonly parts: ShardHostParts) {}
+
+  /** The owner of a shard, if it is in this process. */
+  ownerOf(shard: number): ShardOwner | undefined {
+    return this.shards.get(shard)?.owner;
+  }
+
+  tick(): void {
+    for (const { owner } of this.shards.values()) owner.tell({ kind: "tick" });
+  }
+
+  /** Passes on changed records; null: everything may be different. */
+  followRecords(changes: Change[] | null): void {
+    for (const { owner } of this.shards.values()) owner.tell({ kind: "records", changes });
+  }
+
+  /** Which workers are expected to report here. */
+  statuses(): OwnedShardStatus[] {
+    return Array.from(this.shards, ([shard, { owner }]) => ({ shard, machines: owner.expectedReporters }));
+  }
+
+  /** Starts owners for shards that have become ours and drops those of shards that have not stayed so. */
+  followOwnership(): void {
+    const { membership, log } = this.parts;
+    const { cluster, me } = membership;
+    cluster.shards.forEach((record, shard) => {
+      const ours = record !== null && record.node === me.node && record.incarnation === me.incarnation;
+      let owned = this.shards.get(shard);
+      if (owned && (!ours || !membership.continues(shard, owned.token))) {
+        this.shards.delete(shard);
+        owned.owner.retire();
+        owned = undefined;
+        log.info({ shard, owner: record?.node }, "shard lost");
+      }
+      if (!ours) return;
+      if (owned) owned.token = record.version;
+      else {
+        this.shards.set(shard, this.begin(shard, record.version));
+        log.info({ shard, token: record.version }, "shard owned");
+      }
+    });
+  }
+
+  private begin(n: number, token: number): OwnedShard {
+    const { settings, timings, state, replica, fleet, membership, links, types, clock, log } = this.parts;
+    const shard = new Shard(n, token, clock(), settings, types, replica, log);
+    const hooks = {
+      // The token counts only for the owner whose term it belongs to.
+      token: () => {
+        const current = membership.token(n);
+        return current === owned.token && this.shards.get(n) === owned ? current : null;
+      },
+      advanceToken: () => void membership.tell({ kind: "advance_token", shard: n }),
+      summary: this.parts.sendSummary,
+      mayPlace: () => links.allows("start"),
+      mayGiveBack: () => links.allows("return"),
+    };
+    const owner = new ShardOwner(shard, timings, state, replica, fleet, clock, hooks, log);
+    const owned: OwnedShard = { owner, token };
+    return owned;
+  }
+}
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -3,3 +3,4 @@
 export * from "./cloud.js";
 export * from "./state.js";
 export * from "./paths.js";
+export * from "./health.js";
--- a/test/elections.test.ts
+++ b/test/elections.test.ts
@@ -61,7 +61,8 @@
 
   act(me: Running, seen: Cluster): void {
     const { node, incarnation } = me;
-    const view = { cluster: seen, controllers: SHARDS, ledMs: 9999, gatherMs: 1, mayMove: false };
+    const links = { mayLead: true, unsuited: () => false };
+    const view = { cluster: seen, controllers: SHARDS, ledMs: 9999, gatherMs: 1, mayMove: false, ...links };
     for (const action of decideMembership({ ...view, me: { node, incarnation } }))
       if (action.kind !== "ask_hand_over")
         this.under.push({ claim: transactionFor(action, { node, incarnation }, me.lease, seen), by: me });
--- /dev/null
+++ b/test/links-traces.test.ts
@@ -0,0 +1,190 @@
+/** Traces of the link monitor: evidence and peers' views in, states, rules and steps out. */
+import { pino } from "pino";
+import { LinkMonitor, type LinkMonitorOptions } from "../src/links/monitor.js";
+import type { Direction, LinkName, Observation } from "../src/links/model.js";
+import { deriveLinkTimings, linkSettingsSchema } from "../src/links/settings.js";
+import { encodeView, VIEW_VERSION } from "../src/links/views.js";
+import { list, number, traceTests, type Step, type TraceEvent } from "./support/trace.js";
+
+const TICK_MS = 400;
+const INPUTS = { reportMs: 2000, leaseMs: 10_000, callMs: 1000, tickMs: TICK_MS, shardMovePeriodMs: 30_000 };
+
+/** One line of the monitor's log. */
+interface LogLine {
+  msg: string;
+  link?: string;
+  direction?: string;
+  from?: string;
+  to?: string;
+  evidence?: string;
+  scope?: string;
+  reason?: string;
+  lost?: string[];
+  restricted?: string[];
+}
+
+const namesOf = (names: string[] = []): string => (names.length === 0 ? "nothing" : names.join(","));
+
+class Scenario {
+  private now = 0;
+  private shards: { shard: number; machines: number }[] = [];
+  private leads = false;
+  private members = ["b", "c"];
+  private said: string[] = [];
+  private readonly monitor: LinkMonitor;
+
+  constructor() {
+    const timings = deriveLinkTimings(linkSettingsSchema.parse({}), INPUTS);
+    const options: LinkMonitorOptions = {
+      node: "a",
+      incarnation: "a.1",
+      peers: ["b", "c"],
+      mode: "enforce",
+      timings,
+      probes: { cloudRps: 4, controllers: 3, share: 0.02 },
+      misroutedWindowMs: 8000,
+      maxMachines: 100,
+      usersSilentMs: 5000,
+      clock: () => this.now,
+    };
+    const log = pino(
+      { base: null },
+      {
+        write: (line) => {
+          this.note(JSON.parse(line) as LogLine);
+        },
+      },
+    );
+    const hooks = {
+      ownedShards: () => this.shards,
+      leads: () => this.leads,
+      isMember: (node: string) => this.members.includes(node),
+      // How often peers are asked is counted elsewhere; here it would hide what matters.
+      probe: (link: LinkName) => {
+        if (link === "cloud") this.said.push("probe cloud");
+      },
+      handOver: (shard: number, to: string) => void this.said.push(`hand over ${shard} to ${to}`),
+      resign: () => void this.said.push("resign"),
+    };
+    this.monitor = new LinkMonitor(options, hooks, log);
+  }
+
+  private note(line: LogLine): void {
+    const { msg, link, direction, from, to, evidence, scope, lost, restricted, reason } = line;
+    if (msg === "link state changed")
+      this.said.push(
+        `${link} ${direction}: ${from} to ${to}, ${evidence}${scope === "none" ? "" : ` (${scope})`}`,
+      );
+    if (msg === "degradation policy changed")
+      this.said.push(`lost: ${namesOf(lost)}; restricted: ${namesOf(restricted)}`);
+    if (msg.endsWith("dropped")) this.said.push(`view dropped: ${reason}`);
+  }
+
+  step(event: TraceEvent): string[] {
+    const [link = "", direction = ""] = event.words;
+    switch (event.verb) {
+      case "answered":
+        this.observe({ kind: "answered", link: link as LinkName, latencyMs: number(event, "ms", 5) });
+        break;
+      case "refused":
+      case "unanswered":
+        this.observe({ kind: event.verb, link: link as LinkName });
+        break;
+      case "delivered":
+        this.observe({ kind: "delivered", link: link as LinkName, direction: direction as Direction });
+        break;
+      case "misrouted":
+        this.monitor.tell({ kind: "misrouted", shard: Number(link), host: direction });
+        break;
+      case "view":
+        this.monitor.incoming(viewOf(event));
+        break;
+      case "garbage":
+        this.monitor.incoming(Uint8Array.from(list(event, "bytes").map(Number)));
+        break;
+      case "owns":
+        this.shards = event.words.map((word) => {
+          const [shard, machines] = word.split(":").map(Number);
+          return { shard: shard!, machines: machines! };
+        });
+        break;
+      case "leads":
+        this.leads = link !== "no";
+        break;
+      case "members":
+        this.members = event.words;
+        break;
+      case "stall":
+        this.now += Number(link);
+        this.monitor.tell({ kind: "tick" });
+        break;
+      case "wait":
+        this.wait(Number(link), list(event, "with"), event);
+        break;
+      default:
+        throw new Error(`unknown verb ${event.verb}`);
+    }
+    return this.said.splice(0);
+  }
+
+  private observe(observation: Observation): void {
+    this.monitor.tell({ kind: "observed", observation });
+  }
+
+  /** Time passes in ticks, at each of which the given traffic passes: `ok:LINK`, `refused:LINK`, `lost:LINK`, `in:LINK`. */
+  private wait(ms: number, traffic: string[], event: TraceEvent): void {
+    const until = this.now + ms;
+    let sequence = number(event, "seq", 0);
+    while (this.now < until) {
+      this.now = Math.min(until, this.now + TICK_MS);
+      for (const item of traffic) this.pass(item, sequence++);
+      this.monitor.tell({ kind: "tick" });
+    }
+  }
+
+  private pass(item: string, sequence: number): void {
+    const [what = "", ...rest] = item.split(":");
+    const link = rest.join(":") as LinkName;
+    if (what === "ok") this.observe({ kind: "answered", link, latencyMs: 5 });
+    if (what === "slow") this.observe({ kind: "answered", link, latencyMs: 900 });
+    if (what === "refused") this.observe({ kind: "refused", link });
+    if (what === "lost") this.observe({ kind: "unanswered", link });
+    if (what === "in" || what === "out")
+      this.observe({ kind: "delivered", link, direction: what === "in" ? "inbound" : "outbound" });
+    if (what === "view") this.monitor.incoming(viewBytes(rest[0]!, sequence, rest.slice(1)));
+  }
+}
+
+/** A view of a peer whose links are given as `LINK~STATE`, or `misrouted~SHARD/COUNT`. */
+function viewBytes(
+  node: string,
+  sequence: number,
+  notes: string[],
+  version = VIEW_VERSION,
+  incarnation = `${node}.1`,
+): Uint8Array {
+  const links: { link: string; direction: Direction; state: "up" }[] = [];
+  const misrouted: { shard: number; workers: number }[] = [];
+  for (const note of notes) {
+    const [link = "", value = ""] = note.split("~");
+    if (link === "misrouted") {
+      const [shard, workers] = value.split("/").map(Number);
+      misrouted.push({ shard: shard!, workers: workers! });
+    } else
+      for (const direction of ["outbound", "inbound"] as const)
+        links.push({ link, direction, state: value as "up" });
+  }
+  return encodeView({ version, node, incarnation, sequence, links, misrouted });
+}
+
+function viewOf(event: TraceEvent): Uint8Array {
+  const [node = ""] = event.words;
+  const notes = event.words.slice(1);
+  const incarnation = event.options.get("incarnation") ?? `${node}.1`;
+  return viewBytes(node, number(event, "seq", 1), notes, number(event, "version", VIEW_VERSION), incarnation);
+}
+
+traceTests("links", (): Step => {
+  const scenario = new Scenario();
+  return (event) => scenario.step(event);
+});
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -30,6 +30,8 @@
     ledMs: 0,
     gatherMs: 5000,
     mayMove: true,
+    mayLead: true,
+    unsuited: () => false,
     ...rest,
   };
 }
@@ -112,6 +114,7 @@
     ownership: () => undefined,
     askHandOver: (_owner: string, shard: number, to: string) =>
       void membership.tell({ kind: "hand_over", shard, to }),
+    unsuited: () => false,
   };
   const client = state as unknown as StateClient;
   const membership = new Membership(me, 3, 3, figures, client, store, () => 0, hooks, silent);
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -121,7 +121,8 @@
   };
   const figures = { roundMs: 50, spacingMs: 1000, preemptMs: 1000, quietTicks: 8 };
   const noState = { txnOps: 8 };
-  const hooks = { token: () => 1, advanceToken: () => undefined, summary: () => undefined };
+  const links = { mayPlace: () => true, mayGiveBack: () => true };
+  const hooks = { token: () => 1, advanceToken: () => undefined, summary: () => undefined, ...links };
   const owner = new ShardOwner(
     shard as unknown as Shard,
     figures,
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -9,6 +9,7 @@
 import { readReportRequest } from "../src/http/report-request.js";
 import { answerReport } from "../src/http/reports.js";
 import { MAX_BODY_BYTES } from "../src/wire/index.js";
+import { statusWhileOff } from "../src/links/status.js";
 import { silent } from "./support/records.js";
 
 const BODY = JSON.stringify({
@@ -40,6 +41,7 @@
     report: ({ host }: { host: string }) =>
       Promise.resolve({ kind: "commands" as const, body: { baton: 3, to: host } }),
     healthy: () => true,
+    linkStatus: () => statusWhileOff("node-0"),
     log: silent,
   };
   const handle = createApp(parts).callback();
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -9,6 +9,7 @@
 import { readOperatorSettings } from "../../src/config/operator.js";
 import type { OperatorSettings } from "../../src/config/operator.js";
 import type { Settings } from "../../src/config/settings.js";
+import type { Direction } from "../../src/links/model.js";
 import { NoAnswer, type HttpAnswer, type JsonCalls } from "../../src/runtime/http-client.js";
 import { sleep } from "../../src/runtime/wait.js";
 import { PeerSilent, type PeerNetwork } from "../../src/peers/links.js";
@@ -41,18 +42,34 @@
   end(): void;
 }
 
+/** A cut of both directions, of one as the controller sees it, or none. */
+export type Cut = boolean | Direction;
+
+/** Whether what goes in a direction passes. */
+const passes = (cut: Cut, direction: Direction): boolean =>
+  cut === false || (cut !== true && cut !== direction);
+
 /** What a controller can be cut off from. */
 export interface Cuts {
-  state: boolean;
-  peers: boolean;
-  workers: boolean;
+  state: Cut;
+  peers: Cut;
+  workers: Cut;
+  cloud: Cut;
+  users: Cut;
   /** What it asks of the state service is answered, but for the changes that it waits for. */
   feed: boolean;
 }
 
 export class SimulatedNode {
   life: Life | null = null;
-  readonly cut: Cuts = { state: false, peers: false, workers: false, feed: false };
+  readonly cut: Cuts = {
+    state: false,
+    peers: false,
+    workers: false,
+    cloud: false,
+    users: false,
+    feed: false,
+  };
 
   constructor(
     readonly name: string,
@@ -181,7 +198,7 @@
     const state = (alsoCut: () => boolean): JsonCalls =>
       this.caller(
         life,
-        () => !node.cut.state && node.zone !== this.cutZone && !alsoCut(),
+        (direction) => passes(node.cut.state, direction) && node.zone !== this.cutZone && !alsoCut(),
         (method, path, body) => this.askState(node.index, method, path, body),
       );
     const around = {
@@ -190,7 +207,7 @@
       watches: state(() => node.cut.feed),
       cloud: this.caller(
         life,
-        () => true,
+        (direction) => passes(node.cut.cloud, direction),
         async (method, path, body) => {
           await sleep(200);
           return this.cloud.handle(method, new URL(path, "http://cloud"), body);
@@ -229,7 +246,8 @@
   /** One exchange of messages: both ways can be cut, and what a life has begun ends with it. */
   private exchange<T>(
     life: Partial<Life>,
-    reachable: () => boolean,
+    /** Whether the request passes, and then whether the answer does. */
+    reachable: (way: "request" | "answer") => boolean,
     work: () => T | Promise<T>,
     timeoutMs: number,
     silence: () => Error,
@@ -241,12 +259,12 @@
       }, timeoutMs);
       const carry = async (): Promise<void> => {
         await sleep(1);
-        if (!life.alive || !reachable()) return;
+        if (!life.alive || !reachable("request")) return;
         const result = await work();
         await sleep(1);
         // A life may have ended while the work was under way.
         // eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
-        if (!life.alive || !reachable()) return;
+        if (!life.alive || !reachable("answer")) return;
         clearTimeout(timer);
         resolve(result);
       };
@@ -257,24 +275,25 @@
   /** A request from outside, to which a life that ends meanwhile gives no answer. */
   private visit<T>(
     life: Life,
-    reachable: () => boolean,
+    reachable: (direction: Direction) => boolean,
     work: () => Promise<T>,
     timeoutMs: number,
   ): Promise<T> {
-    const answering = (): boolean => life.alive && reachable();
+    const answering = (way: "request" | "answer"): boolean =>
+      life.alive && reachable(way === "request" ? "inbound" : "outbound");
     return this.exchange(OUTSIDE, answering, work, timeoutMs, () => new Error("no answer"));
   }
 
   private caller(
     life: Partial<Life>,
-    reachable: () => boolean,
+    reachable: (direction: Direction) => boolean,
     work: (method: string, path: string, body: unknown) => Reply,
   ): JsonCalls {
     return {
       call: (method, path, body, timeoutMs) =>
         this.exchange<HttpAnswer>(
           life,
-          reachable,
+          (way) => reachable(way === "request" ? "outbound" : "inbound"),
           async () => {
             const { status, body: said } = await work(method, path, copied(body));
             return { status, body: copied(said) };
@@ -295,18 +314,31 @@
   }
 
   private peersOf(node: SimulatedNode, life: Partial<Life>): PeerNetwork {
-    const network = {
+    const network: PeerNetwork & { heardAt: number } = {
       heardAt: -Infinity,
+      viewExchange: null,
       listen: () => Promise.resolve(0),
       close: () => undefined,
       ask: async (name: string, request: PeerRequest, timeoutMs = 500): Promise<PeerReply> => {
         const peer = this.nodes.find((n) => n.name === name)!;
-        const reachable = (): boolean =>
-          !node.cut.peers && !peer.cut.peers && peer.life !== null && !this.severed(node.zone, peer.zone);
-        const ask = (): Promise<PeerReply> => peer.life!.controller.answerPeer(structuredClone(request));
+        const reachable = (way: "request" | "answer"): boolean => {
+          const [from, to] = way === "request" ? [node, peer] : [peer, node];
+          const open = passes(from.cut.peers, "outbound") && passes(to.cut.peers, "inbound");
+          return open && peer.life !== null && !this.severed(node.zone, peer.zone);
+        };
+        const view = network.viewExchange?.outgoing(name);
+        const ask = async (): Promise<PeerReply> => {
+          const theirs = peer.life!.controller.viewExchange;
+          const asker = view === undefined ? null : theirs?.incoming(view);
+          const reply = await peer.life!.controller.answerPeer(structuredClone(request));
+          answerView = asker ? theirs?.outgoing(asker) : undefined;
+          return reply;
+        };
+        let answerView: Uint8Array | undefined;
         const silence = (): Error => new PeerSilent(name);
         const reply = await this.exchange(life, reachable, ask, timeoutMs, silence);
         network.heardAt = life.controller!.clock();
+        if (answerView !== undefined) network.viewExchange?.incoming(answerView);
         return structuredClone(reply);
       },
     };
@@ -333,7 +365,8 @@
         ? { status: 200, body: copied(routed.body) }
         : { status: 421, body: redirectToWire(routed.owner) };
     };
-    const reachable = (): boolean => !node.cut.workers && !this.severed(zone, node.zone);
+    const reachable = (direction: Direction): boolean =>
+      passes(node.cut.workers, direction) && !this.severed(zone, node.zone);
     return this.visit(life, reachable, work, timeoutMs);
   }
 
@@ -381,7 +414,8 @@
       life.controller.door.users.answer({ method, path, body: copied(body) });
     const queueTimeoutMs = method === "GET" ? USER_WAIT_MS : 5000;
     try {
-      const answer = await this.visit(life, () => true, work, queueTimeoutMs);
+      const reachable = (direction: Direction): boolean => passes(node.cut.users, direction);
+      const answer = await this.visit(life, reachable, work, queueTimeoutMs);
       return { status: answer.status, body: copied(answer.body) as Record<string, unknown> };
     } catch {
       return { status: 0, body: {} };
@@ -390,7 +424,7 @@
 
   /** A controller that is up, as the load balancer would choose it. */
   private anyNode(): SimulatedNode {
-    const up = this.nodes.filter((n) => n.life?.controller.door.healthy());
+    const up = this.nodes.filter((n) => n.cut.users === false && n.life?.controller.door.healthy());
     return up[this.pick(up.length)] ?? this.nodes[this.pick(this.nodes.length)]!;
   }
 
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -25,6 +25,7 @@
     peers: ["b", "c"],
     ask: (peer) => answer(peer),
     behind: () => behind,
+    nobodyCan: () => false,
     pauseMs: 500,
     clock: () => now,
     log: silent,
