Read no further from a worker's connection while its report is being answered

What came on a report connection during an answer was kept without a bound in bytes: a sender that does not wait for answers could fill the process's memory. The connection is now paused once anything comes meanwhile, and read on after the answer. Ruled out: closing it, since a worker whose answer is late would lose its connection for nothing.

--- a/src/http/report-endpoint.ts
+++ b/src/http/report-endpoint.ts
@@ -54,8 +54,10 @@
   private readonly onData = (chunk: Buffer): void => {
     this.active = true;
     this.pending = this.pending === null ? chunk : Buffer.concat([this.pending, chunk]);
-    // Requests are never pipelined; what comes while one is answered waits for the answer.
-    if (!this.answering) this.serve();
+    // Requests are never pipelined. Guards against a sender that goes on all the same: what comes while one is answered
+    // waits for the answer, and past one chunk it waits outside this process.
+    if (this.answering) this.socket.pause();
+    else this.serve();
   };
 
   private serve(): void {
@@ -73,6 +75,7 @@
       (response) => {
         this.socket.write(responseText(response));
         this.answering = false;
+        this.socket.resume();
         this.serve();
       },
       (err: unknown) => {
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -35,11 +35,13 @@
 }
 
 /** The door of a controller that answers every report with its host's name. */
-async function door(context: TestContext): Promise<Door> {
+async function door(context: TestContext, answersAfter = Promise.resolve()): Promise<Door> {
   const parts = {
     users: { answer: () => Promise.resolve({ status: 404, body: { error: "no such job" } }) },
-    report: ({ host }: { host: string }) =>
-      Promise.resolve({ kind: "commands" as const, body: { baton: 3, to: host } }),
+    report: async ({ host }: { host: string }) => {
+      await answersAfter;
+      return { kind: "commands" as const, body: { baton: 3, to: host } };
+    },
     healthy: () => true,
     linkStatus: () => statusWhileOff("node-0"),
     log: silent,
@@ -112,6 +114,36 @@
   socket.destroy();
 });
 
+test("what is sent while a report is being answered waits outside the process, and is answered in turn", async (t) => {
+  let release = (): void => undefined;
+  const { server, connected } = await door(
+    t,
+    new Promise((resolve) => {
+      release = resolve;
+    }),
+  );
+  const accepted = once(server, "connection") as Promise<[Socket]>;
+  const socket = await connected();
+  const [serverSide] = await accepted;
+  const report = post(BODY);
+  socket.write(report);
+  while (serverSide.bytesRead < report.length) await new Promise((resolve) => setImmediate(resolve));
+  // Far more than a connection's buffers hold.
+  const more = 100_000;
+  socket.write(report.repeat(more));
+  while (!serverSide.isPaused()) await new Promise((resolve) => setImmediate(resolve));
+  const readWhileHeld = serverSide.bytesRead;
+  assert.ok(readWhileHeld < (report.length * more) / 10, `${readWhileHeld} bytes read`);
+  release();
+  // Whole answers: each ends with the same body, and no chunk's end need be one of theirs.
+  let text = "";
+  for await (const chunk of socket) {
+    text += String(chunk);
+    if (text.split('"to":"i-1"}').length > 100) break;
+  }
+  assert.equal(text.includes("HTTP/1.1 4"), false);
+});
+
 test("another request on the same connection goes to the HTTP server, and so does all that follows", async (t) => {
   const { connected, seenByServer } = await door(t);
   const socket = await connected();
