--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -26,7 +26,8 @@
 
 /**
  * The shard is chosen when the job is accepted, and may change once before its first task starts. `mostAtOnce` bounds
- * how many tasks may run at a time where another shard keeps the limit of the job's team. `acceptedAt` is time of day: it
+ * how many tasks may run at a time where another shard keeps the limit of the job's team. `guest` says that it has passed
+ * to a shard of other teams. `acceptedAt` is time of day: it
  * orders jobs and dates deadlines, and nothing safe hangs on it.
  */
 const jobRecordSchema = z.object({
@@ -34,6 +35,7 @@
   shard: z.int().nonnegative(),
   acceptedAt: z.number(),
   mostAtOnce: z.int().positive().nullish(),
+  guest: z.boolean().nullish(),
 });
 /** A live job as the state service holds it. */
 export type JobRecord = z.infer<typeof jobRecordSchema>;
--- a/src/placement/shard-owner.ts
+++ b/src/placement/shard-owner.ts
@@ -385,6 +385,7 @@
     const { job, terms } = prepared;
     const record: JobRecord = { spec: job.spec, shard: to, acceptedAt: job.acceptedAt };
     if (terms.reservation !== null) record.mostAtOnce = terms.mostAtOnce;
+    if (terms.guest) record.guest = true;
     const writes: Write[] = [{ put: keys.job(id), value: record }];
     if (terms.reservation !== null)
       writes.push({ put: keys.quota(this.shard.n, id), value: terms.reservation });
--- a/src/placement/transfers.ts
+++ b/src/placement/transfers.ts
@@ -19,6 +19,8 @@
   mostAtOnce: number;
   /** Null where the job's team has no limit. */
   reservation: QuotaReservation | null;
+  /** Whether the job goes to a shard of other teams, whose own jobs come first there. */
+  guest: boolean;
 }
 
 /** The jobs that have not begun and have waited for long, the oldest first, one of each kind. */
@@ -43,7 +45,7 @@
 
 /** Whether nothing of a job has ever been placed, as is known for sure, and it is not a guest here itself. */
 export function mayPass(job: Job, input: RoundInput): boolean {
-  return !job.begun && !job.suspect && job.mostAtOnce === Infinity && startable(job, input);
+  return !job.begun && !job.suspect && job.mostAtOnce === Infinity && !job.guest && startable(job, input);
 }
 
 /** What the teams take of their limits: worked out once for all jobs that are looked at together. */
@@ -64,13 +66,15 @@
   const { spec } = job;
   const team = input.teams.find((t) => t.name === spec.team);
   if (team === undefined) return null;
-  if (team.cpusMax <= 0 && team.gpusMax <= 0) return { mostAtOnce: Infinity, reservation: null };
+  // A single team's shards are alike; several teams are spread over the shards.
+  const guest = input.teams.length > 1;
+  if (team.cpusMax <= 0 && team.gpusMax <= 0) return { mostAtOnce: Infinity, reservation: null, guest };
   const used = taken.byTeam.get(spec.team)!;
   const most = Math.min(spec.tasks, tasksUnderLimit(team, used, taken.unseen, spec));
   // Guards against a job that goes on with a task or two at a time where its own shard would soon let all of it run.
   if (most < Math.min(spec.tasks, tasksUnderLimit(team, NOTHING, NOTHING, spec))) return null;
   const reservation = { team: spec.team, cpus: most * spec.cpus, gpus: most * spec.gpus };
-  return { mostAtOnce: most, reservation };
+  return { mostAtOnce: most, reservation, guest };
 }
 
 function tasksUnderLimit(team: Team, used: Usage, unseen: Usage, need: Usage): number {
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -118,11 +118,14 @@
 const OVERDUE_TO_BEGIN = 0.5;
 /** Once begun, a job that still waits after so many times that time goes before all others as well. */
 const OVERDUE_TO_GO_ON = 1.5;
+/** A job of another shard's team takes what the shard's own jobs leave for longer than that. */
+const OVERDUE_TO_GO_ON_AS_GUEST = 3;
 
 /** How much longer a job has waited than anything but its age may make it wait; negative before that. */
 function overdueMs(job: Job, plan: Pick<Plan, "wallNow">): number {
   const age = plan.wallNow - job.acceptedAt;
-  return age - BEGIN_WITHIN_S * 1000 * (job.begun ? OVERDUE_TO_GO_ON : OVERDUE_TO_BEGIN);
+  const toGoOn = job.guest ? OVERDUE_TO_GO_ON_AS_GUEST : OVERDUE_TO_GO_ON;
+  return age - BEGIN_WITHIN_S * 1000 * (job.begun ? toGoOn : OVERDUE_TO_BEGIN);
 }
 
 /**
@@ -153,6 +156,8 @@
   /** When it was accepted if it is overdue; Infinity if not. */
   overdueSince: number;
   rank: number;
+  /** 1 for a job that has passed here from the shard of its team. */
+  guest: number;
   /** 1 for a job left behind because its team's limit cannot hold all in time. */
   behind: number;
   /** The latest start for its aims. */
@@ -161,7 +166,8 @@
 
 /**
  * What is overdue first, the oldest before the others; then urgent and critical work, then what can be in time, by
- * how long it can wait; what cannot comes last.
+ * how long it can wait; what cannot comes last. Of one rank the shard's own jobs go before guests, which have come for
+ * room that nothing here takes: an array of hundreds of tasks would keep the shard's own jobs waiting for minutes.
  */
 export function queueEntriesOf(jobs: Job[], plan: Plan): QueueEntry[] {
   // Normal and lower work has one rank, below urgent.
@@ -172,6 +178,7 @@
     job,
     overdueSince: isOverdue(job, plan) ? job.acceptedAt : Infinity,
     rank: Math.max(lowest, PRIORITIES.indexOf(job.spec.priority)),
+    guest: job.guest ? 1 : 0,
     behind: behind.has(job) ? 1 : 0,
     start: windows.get(job)!.start,
   }));
@@ -179,6 +186,7 @@
     (a, b) =>
       (a.overdueSince === b.overdueSince ? 0 : a.overdueSince - b.overdueSince) ||
       b.rank - a.rank ||
+      a.guest - b.guest ||
       a.behind - b.behind ||
       a.start - b.start ||
       (a.job.spec.id < b.job.spec.id ? -1 : 1),
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -54,13 +54,16 @@
     readonly version: number,
     /** How many of its tasks may run at a time, where another shard keeps its team's limit. */
     readonly mostAtOnce = Infinity,
+    /** Whether it has passed here from the shard that its team belongs to. */
+    readonly guest = false,
   ) {
     this.done = new Bits(spec.tasks);
     this.durable = new Bits(spec.tasks);
   }
 
   static fromRecord(record: JobRecord, version: number): Job {
-    return new Job(record.spec, record.acceptedAt, version, record.mostAtOnce ?? Infinity);
+    const { spec, acceptedAt, mostAtOnce, guest } = record;
+    return new Job(spec, acceptedAt, version, mostAtOnce ?? Infinity, guest ?? false);
   }
 
   get waiting(): number {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -94,6 +94,23 @@
   );
 });
 
+// Fails without the order by `guest`: arrays of a guest team once went before the shard's own jobs as soon as they were late.
+test("a guest from another team's shard goes behind the shard's own jobs of its rank, unless nothing of it has begun for long", () => {
+  const guestOf = (acceptedAt: number, priority: JobSpec["priority"]): Job =>
+    new Job(jobSpec("req-3", { priority, tasks: 300 }), acceptedAt, 1, Infinity, true);
+  const own = job("req-1", { priority: "best_effort" });
+  const urgent = job("req-2", { priority: "urgent" });
+  const late = NOW - 100_000;
+  const order = (guest: Job): string[] =>
+    orderByUrgency([guest, own, urgent], input([], [])).map((entry) => entry.spec.id);
+  assert.deepEqual(order(guestOf(late, "normal")), ["req-2", "req-1", "req-3"]);
+  assert.deepEqual(order(guestOf(late, "critical")), ["req-3", "req-2", "req-1"]);
+  assert.deepEqual(order(guestOf(NOW - 130_000, "normal")), ["req-3", "req-2", "req-1"]);
+  const begun = guestOf(NOW - 400_000, "normal");
+  run(machine("i-1"), begun, 0);
+  assert.deepEqual(order(begun), ["req-2", "req-1", "req-3"], "once begun it waits longer");
+});
+
 test("only tasks that running ones will not make room for in time are worth renting for", () => {
   const host = machine("i-1");
   const running = job("req-1", { tasks: 4, estimateS: 60 });
--- a/test/transfers.test.ts
+++ b/test/transfers.test.ts
@@ -87,6 +87,7 @@
   assert.ok(prepared !== null, "it may pass on");
   assert.equal(prepared.terms.mostAtOnce, 4);
   assert.deepEqual(prepared.terms.reservation, { team: "capped", cpus: 4, gpus: 0 });
+  assert.equal(prepared.terms.guest, true, "it goes to a shard of another team");
   assert.equal(shard.beginTransfer("req-1", 0), null, "not twice");
   assert.deepEqual(shard.summary(3, 0).waiting, []);
   shard.transferFailed(prepared.job);
@@ -125,7 +126,7 @@
 test("a shard gives up a job whose record names another, and the other takes it on its terms", () => {
   const { shard, view } = cappedShard();
   const spec = jobSpec("req-1", { team: "capped", tasks: 6 });
-  const record = { spec, shard: 0, acceptedAt: Date.now(), mostAtOnce: 2 };
+  const record = { spec, shard: 0, acceptedAt: Date.now(), mostAtOnce: 2, guest: true };
   const types = new Map([[smallType.name, smallType]]);
   const other = new Shard(0, 4, 0, testSettings(), () => types, view, silent);
   const change = view.put(keys.job("req-1"), record, 9);
@@ -136,6 +137,18 @@
   assert.deepEqual(other.summary(4, 0).waiting, [], "a guest does not pass on once more");
 });
 
+test("a guest of a team without a limit does not pass on once more either", () => {
+  const view = new FakeView();
+  const spec = jobSpec("req-1", { team: "free", tasks: 6, zone: "south" });
+  const types = new Map([[smallType.name, smallType]]);
+  for (const guest of [false, true]) {
+    const record = { spec, shard: 1, acceptedAt: Date.now() - 60_000, guest };
+    view.put(keys.job("req-1"), record, guest ? 6 : 5);
+    const shard = new Shard(1, 3, 0, testSettings(), () => types, view, silent);
+    assert.equal(shard.summary(3, 0).waiting.length, guest ? 0 : 1);
+  }
+});
+
 test("which jobs may pass on is found in one look at all jobs and machines, however many wait", () => {
   const view = new FakeView();
   for (let i = 0; i < 200; i++) {
