Let a membership lease end whose renewals are carried out and never answered

Found by cutting the answers of the state service to one controller, the requests still passing: each renewal was carried out, so that the lease never ended and nobody could take the shards over, while the controller itself could prove nothing and stopped.

Once the lease can no longer be proven here, and the last renewal got no answer at all, it is left to end; a read that extends nothing asks until an answer comes. Refusals are answers, so that an outage is bridged as before.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -58,6 +58,9 @@
 /** How many renewals may be under way at once. */
 const MAX_RENEWALS = 3;
 
+/** A refusal is an answer, too. */
+const isAnswered = (err: unknown): boolean => err instanceof StateFailure && err.status !== 0;
+
 /** Maintains this process's lease and tells what it may act for right now. */
 export class Membership extends Actor<MembershipMessage> {
   cluster: Cluster;
@@ -69,6 +72,8 @@
   /** Renewals without an answer so far: a slow service must not keep the next one from being sent. */
   private renewing = 0;
   private lastRenewal = -Infinity;
+  /** Whether the latest renewal that ended got no answer, so that the service may have renewed the lease all the same. */
+  private renewalUnanswered = false;
   private ledSince: number | null = null;
   private lastMove = -Infinity;
   private abstainsUntil = -Infinity;
@@ -203,8 +208,28 @@
       return;
     }
     const now = this.clock();
-    if (this.renewing < MAX_RENEWALS && now - this.lastRenewal >= this.figures.membershipLeaseMs / 5)
-      void this.renew(this.lease);
+    if (this.renewing >= MAX_RENEWALS || now - this.lastRenewal < this.figures.membershipLeaseMs / 5) return;
+    if (this.renewalUnanswered && now >= this.leaseValidUntil) void this.awaitAnswer();
+    else void this.renew(this.lease);
+  }
+
+  /**
+   * Guards against holding shards that this process may not act for: while requests reach the state service and answers
+   * do not come back, each renewal would keep the lease from ending, and nobody could take its shards over. Once the lease
+   * can no longer be proven here it is left to end, until some answer shows that renewing it can be proven again.
+   */
+  private async awaitAnswer(): Promise<void> {
+    this.renewing++;
+    this.lastRenewal = this.clock();
+    try {
+      await this.state.revision();
+      this.renewalUnanswered = false;
+    } catch (err) {
+      this.renewalUnanswered = !isAnswered(err);
+    } finally {
+      this.renewing--;
+    }
+    if (!this.renewalUnanswered) this.lastRenewal = -Infinity;
   }
 
   private validFrom(sentAt: number): number {
@@ -237,7 +262,9 @@
     const sentAt = this.clock();
     this.lastRenewal = sentAt;
     try {
-      if (await this.state.renew(lease)) {
+      const renewed = await this.state.renew(lease);
+      this.renewalUnanswered = false;
+      if (renewed) {
         this.leaseValidUntil = Math.max(this.leaseValidUntil, this.validFrom(sentAt));
       } else if (lease === this.lease) {
         this.log.info("membership lease ended");
@@ -245,6 +272,7 @@
       }
     } catch (err) {
       this.log.debug({ err: (err as Error).message }, "renewal failed");
+      this.renewalUnanswered = !isAnswered(err);
       // After an outage every lease has its full time again: the sooner it is proven, the sooner work goes on.
       this.lastRenewal = Math.min(this.lastRenewal, sentAt - (this.figures.membershipLeaseMs * 3) / 20);
     } finally {
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -4,7 +4,7 @@
 import { decideMembership, type MembershipView } from "../src/membership/decide.js";
 import { Membership } from "../src/membership/membership.js";
 import { sameTerm, type ProcessRecord } from "../src/membership/records.js";
-import type { StateClient } from "../src/state/client.js";
+import { StateFailure, type StateClient } from "../src/state/client.js";
 import { keys } from "../src/state/keys.js";
 import type { Guard, Write } from "../src/wire/index.js";
 import { FakeView, silent } from "./support/records.js";
@@ -86,8 +86,21 @@
 
 const settle = (): Promise<unknown> => new Promise((resolve) => setImmediate(resolve));
 
+interface OwningAll {
+  membership: Membership;
+  store: FakeView;
+}
+
+interface OwningAllOptions {
+  clock?: () => number;
+  /** The state service's answers to renewals and to reads of its revision. */
+  answered?: () => Promise<void>;
+  renewals?: { count: number };
+}
+
 /** The membership of node a, which owns three shards at the versions 10, 11 and 12 and whose writes are carried out at once. */
-function owningAll(written: (membership: Membership) => void): { membership: Membership; store: FakeView } {
+function owningAll(written: (membership: Membership) => void, options: OwningAllOptions = {}): OwningAll {
+  const { clock = () => 0, answered = () => Promise.resolve(), renewals = { count: 0 } } = options;
   const store = new FakeView();
   const me = { node: "a", incarnation: "a.1" };
   store.put(keys.leader, me, 9);
@@ -98,7 +111,15 @@
   const state = {
     grant: () => Promise.resolve(1),
     read: () => Promise.resolve(null),
-    renew: () => Promise.resolve(true),
+    renew: async () => {
+      renewals.count++;
+      await answered();
+      return true;
+    },
+    revision: async () => {
+      await answered();
+      return revision;
+    },
     commit: async (guards: Guard[], writes: Write[]) => {
       await settle();
       const failed = guards.filter(({ key, version }) => (store.get(key)?.version ?? 0) !== version);
@@ -117,10 +138,38 @@
     unsuited: () => false,
   };
   const client = state as unknown as StateClient;
-  const membership = new Membership(me, 3, 3, figures, client, store, () => 0, hooks, silent);
+  const membership = new Membership(me, 3, 3, figures, client, store, clock, hooks, silent);
   return { membership, store };
 }
 
+// Fails if an unanswered renewal is sent again and again: each is carried out, and the lease never ends for anybody else.
+test("a member whose renewals are carried out and never answered lets its lease end, and renews once there is an answer", async () => {
+  const [LEASE_MS, TICK_MS] = [5000, 400];
+  let now = 0;
+  let heard = true;
+  const lost = new StateFailure("timed out", true);
+  const renewals = { count: 0 };
+  const answered = (): Promise<void> => (heard ? Promise.resolve() : Promise.reject(lost));
+  const { membership, store } = owningAll(() => undefined, { clock: () => now, answered, renewals });
+  const pass = async (ms: number): Promise<number> => {
+    const before = renewals.count;
+    for (const until = now + ms; now < until; now += TICK_MS) {
+      membership.tell({ kind: "tick" });
+      await settle();
+      await settle();
+    }
+    return renewals.count - before;
+  };
+  assert.ok((await pass(2 * LEASE_MS)) >= 8, "it renews while it is answered");
+  heard = false;
+  await pass(LEASE_MS);
+  assert.equal(await pass(4 * LEASE_MS), 0, "nothing extends a lease that it cannot prove");
+  heard = true;
+  assert.ok((await pass(LEASE_MS)) >= 3, "it renews again");
+  store.asOf = now;
+  assert.notEqual(membership.token(0), null, "and it may act again");
+});
+
 test("a leader that owns every shard passes one on, although it asks itself while it acts", async () => {
   const { membership } = owningAll(() => undefined);
   for (let i = 0; i < 3; i++) {
