Cut each link of real and simulated controllers, and check the histories

The link monitor was tested by traces alone. Now a fault proxy cuts each link of real controllers in turn, a checker reads what users, workers, the cloud and the state service saw, and generated schedules (fast-check) play cuts of each link and direction, restarts, refusals, outages and late copies in simulated time with the policy enforced.

--- a/src/main.ts
+++ b/src/main.ts
@@ -3,9 +3,12 @@
 import { readFileSync } from "node:fs";
 import { Command } from "commander";
 import { readOperatorSettings } from "./config/operator.js";
-import { parseSettings, readText, SettingsError } from "./config/settings.js";
+import { parseSettings, readText, SettingsError, type Settings } from "./config/settings.js";
 import { Controller } from "./controller.js";
+import { collectLinkReports, linkExitCode, linkTable } from "./link-report.js";
+import { Peers } from "./peers/links.js";
 import { createLogger } from "./runtime/log.js";
+import { peerTimeoutMs } from "./timings.js";
 
 /** The exit code for settings that cannot be used. */
 const BAD_SETTINGS = 2;
@@ -47,6 +50,17 @@
   await new Controller(settings, operator, log).start();
 }
 
+async function printLinks(settings: Settings, asJson: boolean): Promise<void> {
+  const own = { node: settings.node, address: settings.peerListen };
+  const timeoutMs = peerTimeoutMs(settings);
+  const network = new Peers([own, ...settings.peers], timeoutMs, createLogger(settings.node));
+  const reports = await collectLinkReports(settings, network);
+  network.close();
+  const text = asJson ? JSON.stringify(reports, null, 2) : await linkTable(reports);
+  process.stdout.write(`${text}\n`);
+  process.exitCode = linkExitCode(reports);
+}
+
 const { version } = JSON.parse(readFileSync(new URL("../package.json", import.meta.url), "utf8")) as {
   version: string;
 };
@@ -70,4 +84,17 @@
     });
   });
 
+program
+  .command("links")
+  .description(
+    "print the state of all controllers' links; exit code 1 if one is lost, 3 if a controller is silent",
+  )
+  .option("--json", "as JSON")
+  .action((options: { json?: boolean }) => {
+    return orComplain(async () => {
+      const { settings } = await load(needFiles(program.opts<Partial<Files>>()));
+      await printLinks(settings, options.json ?? false);
+    });
+  });
+
 await program.parseAsync();
--- a/test/fault-combinations.test.ts
+++ b/test/fault-combinations.test.ts
@@ -15,13 +15,16 @@
 /** How many randomized scenarios are played; more of them can be asked for by hand. */
 const [FIRST = 1, LAST = 16] = (process.env.RANDOM_SCENARIOS ?? "").split("-").filter(Boolean).map(Number);
 
+/** With `LINK_MONITOR=enforce` all of it is played with the link monitor switched on. */
+const OPERATOR = { links: { mode: process.env.LINK_MONITOR ?? "off" } };
+
 /** Plays a day, and sees that all ends well once its faults are over. */
 async function day(
   seed: number,
   play: (world: Simulation) => Promise<unknown>,
   settings: SettingsOptions = {},
 ): Promise<void> {
-  const world = await Simulation.start(3, seed, { teams: TEAMS, ...settings });
+  const world = Simulation.start(3, seed, { teams: TEAMS, operator: OPERATOR, ...settings });
   try {
     await world.run(10_000);
     const about = String(await play(world));
--- /dev/null
+++ b/test/links-properties.test.ts
@@ -0,0 +1,239 @@
+/** Properties of the link monitor's pure parts, for generated inputs; seeded, so that a run repeats. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as fc from "fast-check";
+import { Backoff } from "../src/links/backoff.js";
+import { diagnose } from "../src/links/diagnosis.js";
+import { DirectionTrack } from "../src/links/direction-track.js";
+import { MisroutedWorkers } from "../src/links/misrouted-workers.js";
+import { LINK_STATES, type Evidence } from "../src/links/model.js";
+import { ACTIVITIES, LOSSES, rulesWithout, type Decision, type Loss } from "../src/links/policy.js";
+import { deriveLinkTimings, linkSettingsSchema } from "../src/links/settings.js";
+import { ViewBook } from "../src/links/view-book.js";
+import { decodeView, encodeView, VIEW_VERSION, type LinkView } from "../src/links/views.js";
+
+const RUNS = { seed: 20_261_202, numRuns: Number(process.env.PROPERTY_RUNS ?? 300) };
+
+const timings = deriveLinkTimings(linkSettingsSchema.parse({}), {
+  reportMs: 2000,
+  leaseMs: 10_000,
+  callMs: 1000,
+  tickMs: 400,
+  shardMovePeriodMs: 30_000,
+});
+
+const losses = fc.subarray([...LOSSES]).map((list) => new Set<Loss>(list));
+const STRICTNESS: Record<Decision, number> = { allowed: 0, delegated: 1, refused: 2 };
+
+test("a further loss never allows more, but for leading where no peer is left to lead", () => {
+  const holds = (some: Set<Loss>, more: Set<Loss>): void => {
+    const [fewer, all] = [rulesWithout(some), rulesWithout(new Set([...some, ...more]))];
+    for (const activity of ACTIVITIES)
+      if (activity !== "lead")
+        assert.ok(STRICTNESS[all[activity].decision] >= STRICTNESS[fewer[activity].decision], activity);
+  };
+  fc.assert(fc.property(losses, losses, holds), RUNS);
+});
+
+test("without the state service nothing is accepted, cancelled, ordered, returned or moved here, whatever else is lost", () => {
+  const holds = (others: Set<Loss>, loss: Loss): void => {
+    const rules = rulesWithout(new Set([...others, loss]));
+    for (const activity of ["accept", "cancel", "poll", "order", "return", "move"] as const)
+      assert.notEqual(rules[activity].decision, "allowed", activity);
+  };
+  fc.assert(fc.property(losses, fc.constantFrom<Loss>("state", "state_for_all"), holds), RUNS);
+});
+
+test("whatever is not allowed says why, and nothing is passed on to peers that are lost", () => {
+  const holds = (lost: Set<Loss>): void => {
+    for (const rule of Object.values(rulesWithout(lost))) {
+      if (rule.decision !== "allowed") assert.notEqual(rule.reason, "");
+      if (lost.has("peers")) assert.notEqual(rule.decision, "delegated");
+    }
+  };
+  fc.assert(fc.property(losses, holds), RUNS);
+});
+
+interface Step {
+  after: number;
+  what: "delivered" | "failed" | "nothing";
+}
+const steps = fc.array(
+  fc.record({
+    after: fc.integer({ min: 1, max: 1000 }),
+    what: fc.constantFrom("delivered" as const, "failed" as const, "nothing" as const),
+  }),
+  { maxLength: 200 },
+);
+
+/** Plays traffic into a track; the answer is the time at its end. */
+function play(
+  track: DirectionTrack,
+  traffic: Step[],
+  seen: (now: number, step: Step) => void = () => undefined,
+): number {
+  let now = 0;
+  for (const step of traffic) {
+    now += step.after;
+    if (step.what === "delivered") track.delivered(now);
+    if (step.what === "failed") track.failed(now, "no_answer");
+    track.review(now);
+    seen(now, step);
+  }
+  return now;
+}
+
+test("a direction is down only after failures for long enough without a success, and never right after one", () => {
+  const holds = (traffic: Step[]): void => {
+    const track = new DirectionTrack(timings);
+    let failingSince: number | null = null;
+    play(track, traffic, (now, { what }) => {
+      if (what === "delivered") failingSince = null;
+      if (what === "failed") failingSince ??= now;
+      if (track.state !== "down") return;
+      assert.ok(failingSince !== null && now - failingSince >= timings.downAfterMs);
+    });
+  };
+  fc.assert(fc.property(steps, holds), RUNS);
+});
+
+test("whatever came before, a direction that works for the bound of recovery is up, and one that fails is down", () => {
+  const steady = (what: Step["what"], ms: number): Step[] =>
+    Array.from({ length: Math.ceil(ms / 400) }, () => ({ after: 400, what }));
+  const holds = (traffic: Step[]): void => {
+    const track = new DirectionTrack(timings);
+    play(track, [...traffic, ...steady("delivered", timings.recoverBoundMs + 800)]);
+    assert.equal(track.state, "up");
+    const other = new DirectionTrack(timings);
+    play(other, [...traffic, ...steady("failed", timings.downAfterMs + 800)]);
+    assert.equal(other.state, "down");
+  };
+  fc.assert(fc.property(steps, holds), RUNS);
+});
+
+test("a link that flaps at the period of a lease changes state less and less often, down to the bound", () => {
+  const track = new DirectionTrack(timings);
+  const LEASE_MS = 10_000;
+  const ups: number[] = [];
+  let before = track.state;
+  const flap: Step[] = Array.from({ length: 2000 }, (_, i) => ({
+    after: 400,
+    what: Math.floor((i * 400) / (LEASE_MS / 2)) % 2 === 0 ? "delivered" : "failed",
+  }));
+  play(track, flap, (now) => {
+    if (track.state === "up" && before !== "up") ups.push(now);
+    before = track.state;
+  });
+  assert.ok(ups.length <= 2, `trusted ${ups.length} times in 80 leases`);
+});
+
+test("only silence that peers corroborate, and no stall of one's own, counts as down", () => {
+  const votes = fc.record({
+    working: fc.subarray(["b", "c", "d"]),
+    failing: fc.subarray(["e", "f"]),
+  });
+  const evidence = fc.constantFrom<Evidence>("silent", "no_answer", "refused", "answers_lost");
+  const holds = (
+    state: (typeof LINK_STATES)[number],
+    because: Evidence,
+    stalled: boolean,
+    cast: { working: string[]; failing: string[] },
+  ): void => {
+    const found = diagnose({
+      link: "workers",
+      direction: "inbound",
+      state,
+      evidence: because,
+      stalled,
+      votes: cast,
+    });
+    if (stalled) assert.notEqual(found.state, "down");
+    if (because === "silent" && found.state === "down") assert.equal(found.scope, "this_node");
+    if (found.scope === "this_node") assert.ok(cast.working.length > cast.failing.length);
+    if (state !== "down") assert.equal(found.state, state);
+  };
+  fc.assert(fc.property(fc.constantFrom(...LINK_STATES), evidence, fc.boolean(), votes, holds), RUNS);
+});
+
+const plain = { noNullPrototype: true };
+const view: fc.Arbitrary<LinkView> = fc.record(
+  {
+    version: fc.constant(VIEW_VERSION),
+    node: fc.constantFrom("b", "c"),
+    incarnation: fc.constantFrom("1", "2"),
+    sequence: fc.integer({ min: 1, max: 5 }),
+    links: fc.array(
+      fc.record(
+        {
+          link: fc.constantFrom("state", "cloud"),
+          direction: fc.constantFrom("outbound" as const, "inbound" as const),
+          state: fc.constantFrom(...LINK_STATES),
+        },
+        plain,
+      ),
+      { maxLength: 4 },
+    ),
+    misrouted: fc.array(fc.record({ shard: fc.nat(9), workers: fc.integer({ min: 1, max: 4000 }) }, plain), {
+      maxLength: 3,
+    }),
+  },
+  plain,
+);
+
+test("bytes that are no view are dropped, and views come back as they were sent", () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+      const result = decodeView(bytes);
+      if (result.ok) assert.ok(result.view.version <= VIEW_VERSION);
+    }),
+    RUNS,
+  );
+  fc.assert(
+    fc.property(view, (sent) => {
+      assert.deepEqual(decodeView(encodeView(sent)), { ok: true, view: sent });
+    }),
+    RUNS,
+  );
+  assert.deepEqual(decodeView(new Uint8Array(20_000)), { ok: false, reason: "malformed" });
+});
+
+test("of one process no older view follows a newer one, and none of a replaced process counts", () => {
+  const holds = (views: LinkView[]): void => {
+    const book = new ViewBook(new Set(["b", "c"]), 1000);
+    const newest = new Map<string, number>();
+    const current = new Map<string, string>();
+    const replaced = new Set<string>();
+    for (const sent of views) {
+      if (!book.receive(encodeView(sent), 0).ok) continue;
+      const process = `${sent.node}/${sent.incarnation}`;
+      assert.ok(!replaced.has(process), "a replaced process is not believed");
+      assert.ok(sent.sequence >= (newest.get(process) ?? 0), "no older view is believed");
+      newest.set(process, sent.sequence);
+      const former = current.get(sent.node);
+      if (former !== undefined && former !== process) replaced.add(former);
+      current.set(sent.node, process);
+    }
+  };
+  fc.assert(fc.property(fc.array(view, { maxLength: 30 }), holds), RUNS);
+});
+
+test("hand-overs for the same cause wait twice as long each time, up to the bound", () => {
+  const backoff = new Backoff<number>({ firstMs: 30_000, boundMs: 240_000 });
+  const at: number[] = [];
+  for (let now = 0; now < 2_000_000; now += 1000)
+    if (backoff.mayTry(0, now)) {
+      backoff.note(0, now);
+      at.push(now);
+    }
+  const waits = at.slice(1).map((time, i) => time - at[i]!);
+  assert.deepEqual(waits.slice(0, 5), [30_000, 60_000, 120_000, 240_000, 240_000]);
+  assert.ok(backoff.mayTry(1, 0), "another shard does not wait");
+});
+
+test("of 4,000 workers each counts once, costs one entry, and is forgotten after the window", () => {
+  const MACHINES = 4000;
+  const misrouted = new MisroutedWorkers(8000, MACHINES);
+  for (let now = 0; now < 4; now++) for (let i = 0; i < 2 * MACHINES; i++) misrouted.note(3, `i-${i}`, now);
+  assert.deepEqual(misrouted.counts(4), [{ shard: 3, workers: MACHINES }]);
+  assert.deepEqual(misrouted.counts(8004), []);
+});
--- a/test/support/cloud.ts
+++ b/test/support/cloud.ts
@@ -1,6 +1,18 @@
 /** A stand-in for the cloud: its machines run a worker stand-in each. */
 import { listen, type Listening, type Reply } from "./http.js";
-import { WorkerStandIn, type WorkerFigures, type WorkerNetwork, type WorkerObserver } from "./worker.js";
+import {
+  WorkerStandIn,
+  type EndCause,
+  type WorkerFigures,
+  type WorkerNetwork,
+  type WorkerObserver,
+} from "./worker.js";
+
+/** What an observer beside the cloud and its machines sees. */
+export interface CloudObserver extends WorkerObserver {
+  rented?(order: string): void;
+  returned?(host: string): void;
+}
 
 export class Cloud implements WorkerObserver {
   readonly machines = new Map<string, WorkerStandIn>();
@@ -18,7 +30,7 @@
   constructor(
     private readonly network: WorkerNetwork,
     private readonly figures: WorkerFigures,
-    private readonly observer?: WorkerObserver,
+    private readonly observer?: CloudObserver,
   ) {}
 
   started(piece: string, worker: WorkerStandIn): void {
@@ -33,6 +45,10 @@
     this.observer?.completed(piece);
   }
 
+  ended(piece: string, worker: WorkerStandIn, cause: EndCause): void {
+    this.observer?.ended?.(piece, worker, cause);
+  }
+
   handle(_method: string, url: URL, body: unknown): Reply {
     if (url.pathname === "/flavors") {
       const small = { label: "small", vcpus: 4, cards: 0, memGb: 16, cacheGb: 50, pullGbPerS: 1 };
@@ -41,6 +57,7 @@
     }
     if (url.pathname === "/rentals/return") {
       for (const host of (body as { hosts: string[] }).hosts) {
+        this.observer?.returned?.(host);
         this.machines.get(host)?.stop();
         this.machines.delete(host);
       }
@@ -68,6 +85,7 @@
     const known = this.rented.get(hire);
     if (known) return known;
     const most = Math.min(count, this.capacity - this.machines.size);
+    this.observer?.rented?.(hire);
     const hosts: string[] = [];
     for (let i = 0; i < most; i++) {
       const host = `i-${String(this.next++).padStart(6, "0")}`;
@@ -83,6 +101,7 @@
 export async function cloud(
   controllers: { node: string; address: string }[],
   figures: WorkerFigures,
+  observer?: CloudObserver,
 ): Promise<Cloud & Listening> {
   const network: WorkerNetwork = {
     controllers: controllers.map((c) => c.node),
@@ -96,7 +115,7 @@
       return { status: response.status, body: await response.json() };
     },
   };
-  const standIn = new Cloud(network, figures);
+  const standIn = new Cloud(network, figures, observer);
   const door = await listen((method, url, body) => standIn.handle(method, url, body));
   const close = (): void => {
     Cloud.prototype.close.call(standIn);
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -5,9 +5,12 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { sleep } from "../../src/runtime/wait.js";
-import { cloud, type Cloud } from "./cloud.js";
+import type { Direction } from "../../src/links/model.js";
+import { cloud, type Cloud, type CloudObserver } from "./cloud.js";
+import { FaultProxy, type CutMode } from "./fault-proxy.js";
+import type { HistoryEvent } from "./history-checker.js";
 import type { Listening } from "./http.js";
-import type { WorkerFigures } from "./worker.js";
+import type { EndCause, WorkerFigures, WorkerStandIn } from "./worker.js";
 import { settingsText } from "./settings.js";
 import { stateService, type StateStandIn, type StateStore } from "./state-service.js";
 
@@ -41,9 +44,47 @@
   body: Record<string, unknown>;
 }
 
+/** A link of a controller that tests can cut. */
+export type CuttableLink = "state" | "workers" | "cloud" | "users" | "peers";
+
+export interface ClusterOptions {
+  /** The operators' file. */
+  operator?: string;
+  /** Whether every link passes through a proxy that can cut it. */
+  proxied?: boolean;
+}
+
+/** Writes down what workers and the cloud see. */
+class HistoryRecorder implements CloudObserver {
+  history: HistoryEvent[] = [];
+
+  started(piece: string, worker: WorkerStandIn): void {
+    this.history.push({ kind: "started", piece, host: worker.host });
+  }
+
+  completed(): void {
+    // Seen as the end of an attempt.
+  }
+
+  ended(piece: string, worker: WorkerStandIn, cause: EndCause): void {
+    this.history.push({ kind: "ended", piece, host: worker.host, cause });
+  }
+
+  rented(order: string): void {
+    this.history.push({ kind: "rented", order });
+  }
+
+  returned(host: string): void {
+    this.history.push({ kind: "returned", host });
+  }
+}
+
 export class Cluster {
   private readonly processes = new Map<string, ChildProcess>();
   private readonly folder = mkdtempSync(join(tmpdir(), "fernpond-test-"));
+  /** What everybody outside the controllers saw, in order. */
+  readonly history: HistoryEvent[] = [];
+  private readonly proxies = new Map<string, FaultProxy>();
 
   private constructor(
     private readonly service: StateStandIn,
@@ -51,34 +92,103 @@
     readonly nodes: { node: string; address: string; back: string }[],
     /** What all workers are like, those yet to come included. */
     readonly workers: WorkerFigures,
+    private readonly options: ClusterOptions,
   ) {}
 
   get state(): StateStore {
     return this.service.store;
   }
 
-  static async start(count: number): Promise<Cluster> {
+  static async start(count: number, options: ClusterOptions = {}): Promise<Cluster> {
     const nodes = [];
     for (let i = 0; i < count; i++) {
       const [port, back] = [await freePort(), await freePort()];
       nodes.push({ node: `node-${i}`, address: `${HOST}:${port}`, back: `${HOST}:${back}` });
     }
     const workers = { ...FIGURES };
-    const cluster = new Cluster(await stateService(count), await cloud(nodes, workers), nodes, workers);
+    const service = await stateService(count);
+    // Workers reach controllers through proxies where there are any, whose addresses are known only then.
+    const reached = nodes.map(({ node, address }) => ({ node, address }));
+    const observer = new HistoryRecorder();
+    const standIn = await cloud(reached, workers, observer);
+    const cluster = new Cluster(service, standIn, nodes, workers, options);
+    observer.history = cluster.history;
+    cluster.recordChanges();
+    if (options.proxied) await cluster.startProxies(reached);
     for (const { node } of nodes) cluster.launch(node);
     return cluster;
   }
 
+  private recordChanges(): void {
+    this.state.onChange = (change) =>
+      this.history.push(
+        "put" in change
+          ? { kind: "recorded", key: change.put, value: change.value }
+          : { kind: "removed", key: change.remove },
+      );
+  }
+
+  private async startProxies(reached: { node: string; address: string }[]): Promise<void> {
+    for (const [i, self] of this.nodes.entries()) {
+      const add = async (link: string, target: string): Promise<void> => {
+        this.proxies.set(`${self.node} ${link}`, await FaultProxy.start(() => target));
+      };
+      await add("state", this.service.addresses[i]!);
+      await add("cloud", this.cloud.address);
+      await add("workers", self.address);
+      await add("users", self.address);
+      for (const peer of this.nodes) if (peer !== self) await add(`peer:${peer.node}`, peer.back);
+      reached[i]!.address = this.route(self.node, "workers", self.address);
+    }
+  }
+
+  /** The address that leads to a controller's neighbour: through a proxy where there is one. */
+  private route(node: string, link: string, address: string): string {
+    return this.proxies.get(`${node} ${link}`)?.address ?? address;
+  }
+
+  /**
+   * Cuts a link of a controller, as that controller sees it: `outbound` is what it sends. Links to peers are cut with all
+   * of them, whoever opened the connection.
+   */
+  cut(node: string, link: CuttableLink, mode: CutMode, ...directions: Direction[]): void {
+    for (const { proxy, opensHere } of this.proxiesOf(node, link))
+      proxy.cut(
+        mode,
+        ...directions.map((direction) =>
+          (direction === "outbound") === opensHere ? ("toServer" as const) : ("toClient" as const),
+        ),
+      );
+  }
+
+  heal(node: string, link: CuttableLink): void {
+    for (const { proxy } of this.proxiesOf(node, link)) proxy.heal();
+  }
+
+  private proxiesOf(node: string, link: CuttableLink): { proxy: FaultProxy; opensHere: boolean }[] {
+    const found: { proxy: FaultProxy; opensHere: boolean }[] = [];
+    for (const [name, proxy] of this.proxies) {
+      const [owner, route = ""] = name.split(" ");
+      const asPeers = link === "peers" && route.startsWith("peer:");
+      if (owner === node && (route === link || asPeers))
+        found.push({ proxy, opensHere: link !== "workers" && link !== "users" });
+      else if (asPeers && route === `peer:${node}`) found.push({ proxy, opensHere: false });
+    }
+    return found;
+  }
+
   launch(name: string): void {
     const self = this.nodes.find((n) => n.node === name)!;
-    const file = join(this.folder, `${name}.toml`);
+    const file = this.settingsFile(name);
     const text = settingsText({
       node: name,
       listen: self.address,
       back: self.back,
-      peers: this.nodes.filter((n) => n !== self).map((n) => ({ node: n.node, address: n.back })),
-      cloud: this.cloud.address,
-      state: this.service.addresses[this.nodes.indexOf(self)]!,
+      peers: this.nodes
+        .filter((n) => n !== self)
+        .map((n) => ({ node: n.node, address: this.route(name, `peer:${n.node}`, n.back) })),
+      cloud: this.route(name, "cloud", this.cloud.address),
+      state: this.route(name, "state", this.service.addresses[this.nodes.indexOf(self)]!),
       controllers: this.nodes.length,
       reportS: FIGURES.reportMs / 1000,
       leaseS: FIGURES.leaseMs / 1000,
@@ -86,12 +196,21 @@
     });
     writeFileSync(file, text);
     const env = { ...process.env, LOG_LEVEL: "error" };
+    const operator = this.options.operator === undefined ? [] : ["--operator", this.options.operator];
     this.processes.set(
       name,
-      spawn(process.execPath, ["target/fernpond.js", "--config", file], { env, stdio: "ignore" }),
+      spawn(process.execPath, ["target/fernpond.js", ...operator, "--config", file], {
+        env,
+        stdio: "ignore",
+      }),
     );
   }
 
+  /** The settings file of a controller, for commands that are run beside it. */
+  settingsFile(name: string): string {
+    return join(this.folder, `${name}.toml`);
+  }
+
   /** Ends a controller without any warning. */
   async kill(name: string): Promise<void> {
     const child = this.processes.get(name)!;
@@ -112,6 +231,7 @@
 
   stop(): Promise<void> {
     for (const child of this.processes.values()) child.kill("SIGKILL");
+    for (const proxy of this.proxies.values()) proxy.close();
     this.cloud.close();
     this.service.close();
     rmSync(this.folder, { recursive: true });
@@ -121,7 +241,8 @@
   /** One request to one controller; status 0 if it did not answer. */
   async request(node: number, method: string, path: string, body?: unknown): Promise<Answer> {
     try {
-      const response = await fetch(`http://${this.nodes[node]!.address}${path}`, {
+      const { node: name, address } = this.nodes[node]!;
+      const response = await fetch(`http://${this.route(name, "users", address)}${path}`, {
         method,
         body: body === undefined ? null : typeof body === "string" ? body : JSON.stringify(body),
         signal: AbortSignal.timeout(5000),
--- /dev/null
+++ b/test/support/link-cuts.ts
@@ -0,0 +1,50 @@
+/** Schedules of cuts, heals and restarts, played in a simulated deployment. */
+import { sleep } from "../../src/runtime/wait.js";
+import type { Cut, Cuts, Simulation } from "./simulation.js";
+
+/** A link that a schedule cuts. */
+export type ScheduledLink = Exclude<keyof Cuts, "feed">;
+
+/** Something that goes wrong, when, and for how long. */
+export type ScheduledFault =
+  | { kind: "cut"; at: number; node: number; link: ScheduledLink; cut: Cut; forMs: number }
+  | { kind: "restart"; at: number; node: number; awayMs: number }
+  | { kind: "refused"; at: number; node: number; forMs: number }
+  | { kind: "outage"; at: number; forMs: number };
+
+/** Plays all faults of a schedule; resolves when the last is over. Cuts of one link that overlap end with the last. */
+export async function playSchedule(world: Simulation, schedule: ScheduledFault[]): Promise<void> {
+  await Promise.all(schedule.map((fault) => playFault(world, fault)));
+  for (const node of world.nodes)
+    for (const link of ["state", "peers", "workers", "cloud", "users"] as const) node.cut[link] = false;
+}
+
+async function playFault(world: Simulation, fault: ScheduledFault): Promise<void> {
+  await sleep(fault.at);
+  switch (fault.kind) {
+    case "cut": {
+      const { cut } = world.nodes[fault.node]!;
+      cut[fault.link] = fault.cut;
+      await sleep(fault.forMs);
+      cut[fault.link] = false;
+      return;
+    }
+    case "restart": {
+      const node = world.nodes[fault.node]!;
+      world.crash(node);
+      await sleep(fault.awayMs);
+      if (node.life === null) world.launch(node);
+      return;
+    }
+    case "refused":
+      world.store.refused.add(fault.node);
+      await sleep(fault.forMs);
+      world.store.refused.delete(fault.node);
+      return;
+    case "outage":
+      world.store.down = true;
+      await sleep(fault.forMs);
+      world.store.down = false;
+      return;
+  }
+}
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -6,8 +6,7 @@
 import { mock } from "node:test";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Controller } from "../../src/controller.js";
-import { readOperatorSettings } from "../../src/config/operator.js";
-import type { OperatorSettings } from "../../src/config/operator.js";
+import { checkOperatorSettings, type OperatorSettings } from "../../src/config/operator.js";
 import type { Settings } from "../../src/config/settings.js";
 import type { Direction } from "../../src/links/model.js";
 import { NoAnswer, type HttpAnswer, type JsonCalls } from "../../src/runtime/http-client.js";
@@ -35,6 +34,11 @@
 
 const ZONES = ["north", "south"];
 
+/** The platform's settings, and the operators' file as it is read. */
+export interface SimulationOptions extends SettingsOptions {
+  operator?: unknown;
+}
+
 /** One life of a controller: what it began goes nowhere once it is over. */
 interface Life {
   alive: boolean;
@@ -107,7 +111,7 @@
   private constructor(
     count: number,
     seed: number,
-    private readonly options: SettingsOptions,
+    private readonly options: SimulationOptions,
     private readonly operator: OperatorSettings,
   ) {
     this.luck = xoroshiro128plus(seed);
@@ -139,8 +143,8 @@
     );
   }
 
-  static async start(count: number, seed: number, options: SettingsOptions = {}): Promise<Simulation> {
-    const world = new Simulation(count, seed, options, await readOperatorSettings(undefined));
+  static start(count: number, seed: number, options: SimulationOptions = {}): Simulation {
+    const world = new Simulation(count, seed, options, checkOperatorSettings(options.operator ?? {}));
     for (const node of world.nodes) world.launch(node);
     return world;
   }
--- a/test/support/state-service.ts
+++ b/test/support/state-service.ts
@@ -14,7 +14,7 @@
   apply?: Operation[];
 }
 
-type Change = { put: string; value: unknown; stamp: number } | { remove: string; stamp: number };
+export type Change = { put: string; value: unknown; stamp: number } | { remove: string; stamp: number };
 
 interface Hold {
   lifeMs: number;
@@ -27,6 +27,8 @@
   readonly refused = new Set<number>();
   /** How many requests have come, of all kinds. */
   requests = 0;
+  /** Told of every change as it is made. */
+  onChange: (change: Change) => void = () => undefined;
   private outage = false;
   private epoch = 0;
   private nextHold = 1;
@@ -111,12 +113,17 @@
     for (const op of operations) {
       if ("put" in op) {
         this.store.set(op.put, { value: op.value, stamp, hold: op.hold });
-        this.changes.push({ put: op.put, value: op.value, stamp });
-      } else if (this.store.delete(op.remove)) this.changes.push({ remove: op.remove, stamp });
+        this.note({ put: op.put, value: op.value, stamp });
+      } else if (this.store.delete(op.remove)) this.note({ remove: op.remove, stamp });
     }
     for (const wake of [...this.watchers]) wake();
   }
 
+  private note(change: Change): void {
+    this.changes.push(change);
+    this.onChange(change);
+  }
+
   private commit(transaction: Transaction): Reply {
     const failed = (transaction.guards ?? [])
       .filter((g) => (this.store.get(g.path)?.stamp ?? 0) !== g.stamp)
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -51,8 +51,13 @@
 export interface WorkerObserver {
   started(piece: string, worker: WorkerStandIn): void;
   completed(piece: string): void;
+  /** An attempt is no longer on the machine. */
+  ended?(piece: string, worker: WorkerStandIn, cause: EndCause): void;
 }
 
+/** How an attempt ended; `lost` with the worker's lease or its machine. */
+export type EndCause = "done" | "error" | "halted" | "lost";
+
 /** How many usual boot times a late machine takes. */
 const LATE_BOOTS = 5;
 
@@ -92,6 +97,11 @@
     this.stopped = true;
     this.well = false;
     clearTimeout(this.leaseTimer);
+    this.loseAll();
+  }
+
+  private loseAll(): void {
+    for (const piece of this.running) this.observer.ended?.(piece, this, "lost");
     this.running.clear();
   }
 
@@ -138,7 +148,7 @@
   private expire(): void {
     this.tenure++;
     this.pieces = [];
-    this.running.clear();
+    this.loseAll();
     this.renew(this.network.clock());
   }
 
@@ -227,9 +237,10 @@
     this.observer.completed(piece.piece);
   }
 
-  private exit(piece: Piece, cause: string): void {
+  private exit(piece: Piece, cause: Exclude<EndCause, "lost">): void {
     piece.stage = "exited";
     piece.cause = cause;
     this.running.delete(piece.piece);
+    this.observer.ended?.(piece.piece, this, cause);
   }
 }
