Notice workers that never met their shard's new owner, and pass the shard on

Found by two controllers half cut at a time: one ended, and its shard was given to one whom no worker reached. Only workers that follow the present owner's token were told of to that owner, and those of a new owner never have its token: the shard stayed there for as long as the cut lasted (60 s in the test), and its jobs waited.

A worker that was sent to an owner and comes back a report interval later or more, without that owner's token, counts as well. The owner still passes the shard on only if it hears no worker at all.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -139,6 +139,8 @@
       askNode: (node, request) => this.askNode(node, request),
       clock: this.clock,
       misroutedSpacingMs: this.figures.misroutedSpacingMs,
+      reportMs: this.settings.workers.reportMs,
+      maxMachines: this.operator.maxMachines,
       links: this.links,
     });
   }
--- a/src/report-router.ts
+++ b/src/report-router.ts
@@ -5,6 +5,7 @@
 import type { Membership } from "./membership/membership.js";
 import type { PeerReply, PeerRequest } from "./peers/messages.js";
 import type { ReportAnswer, ShardOwner } from "./placement/shard-owner.js";
+import { RedirectedWorkers } from "./redirected-workers.js";
 import type { SteadyClock } from "./runtime/clock.js";
 import type { WorkerReport } from "./wire/index.js";
 import type { Fleet } from "./workers/fleet.js";
@@ -21,6 +22,8 @@
   clock: SteadyClock;
   /** How often an owner is told at most that its workers come here. */
   misroutedSpacingMs: number;
+  reportMs: number;
+  maxMachines: number;
   links: Pick<LinkMonitoring, "noteReport" | "noteMisrouted">;
 }
 
@@ -29,7 +32,11 @@
   /** When the owner of a shard was last told that its workers come here. */
   private readonly misroutedAt = new Map<number, number>();
 
-  constructor(private readonly parts: ReportRouterParts) {}
+  private readonly redirected: RedirectedWorkers;
+
+  constructor(private readonly parts: ReportRouterParts) {
+    this.redirected = new RedirectedWorkers(parts.maxMachines, parts.reportMs);
+  }
 
   /** Answers the report, or tells the worker where to go. */
   async route(report: WorkerReport): Promise<Routed> {
@@ -52,13 +59,16 @@
   /**
    * Guards against losing all tasks of a shard whose owner is cut off from its workers alone: its lease lives on, and the
    * others would send its workers back to it until their leases are over. A worker that follows the owner's token has
-   * spoken to it before; if it comes here now, its owner is told, and passes the shard on if it hears no worker at all.
+   * spoken to it before; if it comes here now, its owner is told, and passes the shard on if it hears no worker at all. So
+   * does one that was sent to that owner before and comes back without its token: a new owner may never have been heard.
    */
   private reportMisrouted(shard: number, report: WorkerReport): void {
     const owner = this.parts.membership.owner(shard);
-    if (owner === null || report.token !== this.parts.membership.cluster.shards[shard]?.version) return;
-    this.parts.links.noteMisrouted(shard, report.host);
+    const term = this.parts.membership.cluster.shards[shard]?.version;
+    if (owner === null || term === undefined) return;
     const now = this.parts.clock();
+    if (report.token !== term && !this.redirected.isBack(report.host, term, now)) return;
+    this.parts.links.noteMisrouted(shard, report.host);
     if (now - (this.misroutedAt.get(shard) ?? -Infinity) < this.parts.misroutedSpacingMs) return;
     this.misroutedAt.set(shard, now);
     this.parts
--- a/test/half-cut-simulated.test.ts
+++ b/test/half-cut-simulated.test.ts
@@ -121,6 +121,30 @@
   }
 });
 
+// Fails if only workers that follow the present owner's token count: those of a new owner have never met it.
+test("a shard that is given to a controller whom no worker reaches goes on to one whom they reach", async () => {
+  for (const mode of ["off", "enforce"]) {
+    const world = Simulation.start(CONTROLLERS, 4, { teams: TEAMS, operator: { links: { mode } } });
+    try {
+      (world.workers.runOf ??= new Map()).set("req-1", 120_000);
+      world.submit("req-1", { pieces: 6, guessS: 120 });
+      await world.run(20_000);
+      const owner = world.ownerOf(0)!;
+      const [deaf, heard] = world.nodes.filter((each) => each !== owner);
+      deaf!.cut.workers = true;
+      world.crash(owner);
+      const { leaseMs } = world.settings.workers;
+      assert.ok(await world.runUntil(() => world.ownerOf(0) === heard, 4 * leaseMs), `${mode}: it is heard`);
+      deaf!.cut.workers = false;
+      world.launch(owner);
+      await world.runUntil(() => world.open().length === 0, CLEARED_MS);
+      assert.deepEqual({ broken: world.broken, open: world.open() }, { broken: [], open: [] });
+    } finally {
+      world.close();
+    }
+  }
+});
+
 test("the same faults on all three controllers at a time, at the period of the lease, end well", async () => {
   const schedule: ScheduledFault[] = [];
   for (let i = 0; i < 6; i++)
--- a/test/half-cut.test.ts
+++ b/test/half-cut.test.ts
@@ -67,9 +67,14 @@
   }
 }
 
-async function statusOf(cluster: Cluster, node: number): Promise<LinkStatus> {
-  const response = await fetch(`http://${cluster.nodes[node]!.address}/links`);
-  return (await response.json()) as LinkStatus;
+/** Asked past the users' proxy; null while the controller is not up. */
+async function statusOf(cluster: Cluster, node: number): Promise<LinkStatus | null> {
+  try {
+    const response = await fetch(`http://${cluster.nodes[node]!.address}/links`);
+    return (await response.json()) as LinkStatus;
+  } catch {
+    return null;
+  }
 }
 
 /** Waits until a controller finds one direction of a link in a state. */
@@ -80,12 +85,11 @@
   direction: Direction,
   state: string,
 ): Promise<void> {
+  const shows = (status: LinkStatus | null): boolean =>
+    status?.links.some((of) => of.link === link && of.direction === direction && of.state === state) ?? false;
   await cluster.until(
-    async () => ({ status: 200, body: { ...(await statusOf(cluster, node)) } }),
-    ({ body }) =>
-      (body as unknown as LinkStatus).links.some(
-        (report) => report.link === link && report.direction === direction && report.state === state,
-      ),
+    async () => ({ status: 0, body: { shown: shows(await statusOf(cluster, node)) } }),
+    ({ body }) => body.shown === true,
   );
 }
 
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -84,6 +84,8 @@
 
 export class Simulation {
   now = 0;
+  /** How many questions controllers have asked each other. */
+  peerQuestions = 0;
   readonly store = new StateStore();
   readonly cloud: Cloud;
   readonly nodes: SimulatedNode[];
@@ -324,6 +326,7 @@
       listen: () => Promise.resolve(0),
       close: () => undefined,
       ask: async (name: string, request: PeerRequest, timeoutMs = 500): Promise<PeerReply> => {
+        this.peerQuestions++;
         const peer = this.nodes.find((n) => n.name === name)!;
         const reachable = (way: "request" | "answer"): boolean => {
           const [from, to] = way === "request" ? [node, peer] : [peer, node];
