--- a/test/half-cut-simulated.test.ts
+++ b/test/half-cut-simulated.test.ts
@@ -52,12 +52,13 @@
 ): Promise<{ broken: string[]; open: string[] }> {
   const world = Simulation.start(CONTROLLERS, seed, ENFORCED);
   world.workers.copies = 0.1;
+  world.lateWrites = 0.05;
   try {
     await world.run(10_000);
     let over = false;
     void playSchedule(world, schedule).then(() => (over = true));
     await work(world, () => over);
-    world.workers.copies = 0;
+    world.workers.copies = world.lateWrites = 0;
     world.calmSince = world.now;
     await world.runUntil(() => world.open().length === 0, CLEARED_MS);
     return { broken: world.broken, open: world.open() };
--- /dev/null
+++ b/test/links-cost.test.ts
@@ -0,0 +1,114 @@
+/** What the link monitor costs, counted: looks at the clock, observations and probes, never time. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { LinkName } from "../src/links/model.js";
+import { LinkMonitor } from "../src/links/monitor.js";
+import { deriveLinkTimings, linkSettingsSchema } from "../src/links/settings.js";
+import { silent } from "./support/records.js";
+
+const TICK_MS = 400;
+const INPUTS = { reportMs: 2000, leaseMs: 10_000, callMs: 1000, tickMs: TICK_MS, shardMovePeriodMs: 30_000 };
+const PEERS = ["b", "c", "d"];
+
+/** A monitor, a clock that counts who looks at it, and the probes that were sent. */
+function counted(machines: number) {
+  let now = 0;
+  const counts = { looks: 0, probes: [] as LinkName[] };
+  const monitor = new LinkMonitor(
+    {
+      node: "a",
+      incarnation: "a.1",
+      peers: PEERS,
+      mode: "enforce",
+      timings: deriveLinkTimings(linkSettingsSchema.parse({}), INPUTS),
+      probes: { cloudRps: 4, controllers: 4, share: 0.02 },
+      misroutedWindowMs: 8000,
+      maxMachines: 10_000,
+      usersSilentMs: 5000,
+      clock: () => {
+        counts.looks++;
+        return now;
+      },
+    },
+    {
+      ownedShards: () => [{ shard: 0, machines }],
+      leads: () => true,
+      isMember: () => true,
+      probe: (link) => void counts.probes.push(link),
+      handOver: () => undefined,
+      resign: () => undefined,
+    },
+    silent,
+  );
+  const tick = (): void => {
+    now += TICK_MS;
+    monitor.tell({ kind: "tick" });
+  };
+  return { monitor, counts, tick };
+}
+
+function looksOf(machines: number): { report: number; tick: number } {
+  const { monitor, counts, tick } = counted(machines);
+  tick();
+  counts.looks = 0;
+  for (let i = 0; i < machines; i++)
+    monitor.tell({
+      kind: "observed",
+      observation: { kind: "delivered", link: "workers", direction: "inbound" },
+    });
+  const report = counts.looks / machines;
+  counts.looks = 0;
+  tick();
+  return { report, tick: counts.looks };
+}
+
+test("a report and a tick cost the same with 4,000 machines as with ten", () => {
+  const [few, many] = [looksOf(10), looksOf(4000)];
+  assert.deepEqual(many, few);
+  assert.ok(many.report <= 2, `${many.report} looks at the clock a report`);
+});
+
+test("quiet peers are asked twice in the time after which they are unknown, and an idle cloud is not asked", () => {
+  const { monitor, counts, tick } = counted(10);
+  const asked = new Map<LinkName, number>();
+  for (let i = 0; i < 60_000 / TICK_MS; i++) {
+    tick();
+    monitor.tell({ kind: "observed", observation: { kind: "answered", link: "state", latencyMs: 5 } });
+    monitor.tell({
+      kind: "observed",
+      observation: { kind: "delivered", link: "workers", direction: "inbound" },
+    });
+    for (const link of counts.probes.splice(0)) {
+      assert.notEqual(link, "cloud");
+      monitor.tell({ kind: "observed", observation: { kind: "delivered", link, direction: "outbound" } });
+      asked.set(link, (asked.get(link) ?? 0) + 1);
+    }
+  }
+  // Every half of four report intervals.
+  for (const peer of PEERS) {
+    const count = asked.get(`peer:${peer}`) ?? 0;
+    assert.ok(count >= 10 && count <= 60_000 / 4000 + 1, `${count} questions a minute`);
+  }
+});
+
+test("a controller that finds the state service failing asks each peer at most once a report interval", () => {
+  const { monitor, counts, tick } = counted(10);
+  for (let i = 0; i < 60_000 / TICK_MS; i++) {
+    tick();
+    monitor.tell({ kind: "observed", observation: { kind: "refused", link: "state" } });
+  }
+  assert.ok(
+    counts.probes.length <= PEERS.length * (60_000 / INPUTS.reportMs),
+    `${counts.probes.length} probes`,
+  );
+});
+
+test("views go to a peer at most every half report interval, whoever asks for one", () => {
+  const { monitor, tick } = counted(10);
+  let sent = 0;
+  for (let i = 0; i < 60_000 / TICK_MS; i++) {
+    tick();
+    for (let k = 0; k < 20; k++) if (monitor.outgoing("b") !== undefined) sent++;
+  }
+  assert.ok(sent <= 60_000 / (INPUTS.reportMs / 2), `${sent} views a minute`);
+});
--- a/test/links-properties.test.ts
+++ b/test/links-properties.test.ts
@@ -1,5 +1,6 @@
 /** Properties of the link monitor's pure parts, for generated inputs; seeded, so that a run repeats. */
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import { test } from "node:test";
 import * as fc from "fast-check";
 import { Backoff } from "../src/links/backoff.js";
@@ -8,6 +9,7 @@
 import { MisroutedWorkers } from "../src/links/misrouted-workers.js";
 import { LINK_STATES, type Evidence } from "../src/links/model.js";
 import { ACTIVITIES, LOSSES, rulesWithout, type Decision, type Loss } from "../src/links/policy.js";
+import { policyTable } from "../src/links/policy-table.js";
 import { deriveLinkTimings, linkSettingsSchema } from "../src/links/settings.js";
 import { ViewBook } from "../src/links/view-book.js";
 import { decodeView, encodeView, VIEW_VERSION, type LinkView } from "../src/links/views.js";
@@ -237,3 +239,16 @@
   assert.deepEqual(misrouted.counts(4), [{ shard: 3, workers: MACHINES }]);
   assert.deepEqual(misrouted.counts(8004), []);
 });
+
+test("the operators' page shows the policy as it is", () => {
+  const page = readFileSync("docs/operating-links.md", "utf8");
+  const shown =
+    /printed by src\/links\/policy-table.ts -->\n([^]*?)<!-- end of policy table/.exec(page)?.[1] ?? "";
+  // The page's formatter pads cells and rules.
+  const cells = (table: string): string[][] =>
+    table
+      .trim()
+      .split("\n")
+      .map((row) => row.split("|").map((text) => text.trim().replace(/^-+$/, "---")));
+  assert.deepEqual(cells(shown), cells(policyTable()));
+});
--- a/test/support/cloud.ts
+++ b/test/support/cloud.ts
@@ -49,6 +49,11 @@
     this.observer?.ended?.(piece, worker, cause);
   }
 
+  /** How many machines have ever been rented. */
+  get rentedCount(): number {
+    return this.next - 1;
+  }
+
   handle(_method: string, url: URL, body: unknown): Reply {
     if (url.pathname === "/flavors") {
       const small = { label: "small", vcpus: 4, cards: 0, memGb: 16, cacheGb: 50, pullGbPerS: 1 };
