--- a/src/links/report-rate.ts
+++ b/src/links/report-rate.ts
@@ -1,9 +1,9 @@
 /** Whether workers report as often as they do while they are answered. */
 
 /** A worker that gets no answer waits for its time-out and tries others first: it comes back at a fraction of the rate. */
-const SPARSE_BELOW = 0.6;
+const SPARSE_BELOW = 0.5;
 /** Reports are counted over so many of their intervals. */
-const WINDOW_REPORTS = 2;
+const WINDOW_REPORTS = 3;
 
 /** Counts the reports of all workers that are expected here, over windows of time. */
 export class ReportRate {
