--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -47,6 +47,24 @@
   await assert.rejects(readOperatorSettings(wrong), (err) => err instanceof SettingsError);
 });
 
+test("the link monitor is off by default, its deploy file says what the defaults are, and wrong values are named", async () => {
+  const { links } = await readOperatorSettings(undefined);
+  assert.equal(links.mode, "off");
+  assert.deepEqual((await readOperatorSettings("deploy/half-cut.hcl")).links, { ...links, mode: "enforce" });
+  const wrong: [string, RegExp][] = [
+    ['mode = "on"', /links\.mode/],
+    ["down_after_reports = 0", /links\.down_after_reports/],
+    ["probe_share = 0.5", /links\.probe_share/],
+    ["flap_bound = 1.5", /links\.flap_bound/],
+    ["down_after = 3", /links/],
+  ];
+  for (const [line, named] of wrong)
+    await assert.rejects(
+      readOperatorSettings(file("links.hcl", `links {\n  ${line}\n}\n`)),
+      (err: Error) => err instanceof SettingsError && named.test(err.message) && !err.message.includes("\n"),
+    );
+});
+
 test("the command line checks settings and ends with exit code 2 and one line where they are wrong", () => {
   const command = (...args: string[]) => {
     const { status, stdout, stderr } = spawnSync(process.execPath, ["target/fernpond.js", ...args], {
