--- a/src/links/monitor.ts
+++ b/src/links/monitor.ts
@@ -110,6 +110,7 @@
 
   /** Whether a shard may be handed over again for the sake of its workers; asking counts as an attempt. */
   tryHandOver(shard: number): boolean {
+    if (this.options.mode !== "enforce") return true;
     const now = this.options.clock();
     if (!this.moves.mayTry(shard, now)) return false;
     this.moves.note(shard, now);
@@ -118,6 +119,7 @@
 
   /** Whether a peer, by its latest view, does not hear workers: shards are better off elsewhere. */
   cannotHearWorkers(node: string): boolean {
+    if (this.options.mode !== "enforce") return false;
     const view = this.views.of(node, this.options.clock());
     return view?.links.some(({ link, state }) => link === "workers" && state === "down") ?? false;
   }
@@ -301,7 +303,7 @@
     const same = lost.size === this.lost.size && [...lost].every((loss) => this.lost.has(loss));
     if (same) return;
     this.lost = lost;
-    this.wanted = rulesWithout(lost);
+    this.wanted = rulesWithout(lost, lost.has("peers") || this.options.peers.length === 0);
     const restricted = ACTIVITIES.filter((activity) => this.wanted[activity].decision !== "allowed");
     this.log.info({ lost: [...lost], restricted, mode: this.options.mode }, "degradation policy changed");
   }
--- a/src/links/policy.ts
+++ b/src/links/policy.ts
@@ -118,8 +118,8 @@
 
 const STRICTNESS: Record<Decision, number> = { allowed: 0, delegated: 1, refused: 2 };
 
-/** The rules for a set of losses: the strictest of each. */
-export function rulesWithout(lost: ReadonlySet<Loss>): Rules {
+/** The rules for a set of losses: the strictest of each. `alone`: there is no peer to pass anything to. */
+export function rulesWithout(lost: ReadonlySet<Loss>, alone = lost.has("peers")): Rules {
   const rules = { ...NORMAL_RULES };
   for (const loss of LOSSES) {
     if (!lost.has(loss)) continue;
@@ -129,7 +129,7 @@
         rules[activity] = rule;
     }
   }
-  return lost.has("peers") ? withoutDelegation(rules) : rules;
+  return alone ? withoutDelegation(rules) : rules;
 }
 
 /** Without peers there is nobody to pass anything to. A leader then stays: nobody is known to do better. */
--- a/test/links-cost.test.ts
+++ b/test/links-cost.test.ts
@@ -3,7 +3,9 @@
 import { test } from "node:test";
 import type { LinkName } from "../src/links/model.js";
 import { LinkMonitor } from "../src/links/monitor.js";
+import { ACTIVITIES } from "../src/links/policy.js";
 import { deriveLinkTimings, linkSettingsSchema } from "../src/links/settings.js";
+import { encodeView, VIEW_VERSION } from "../src/links/views.js";
 import { silent } from "./support/records.js";
 
 const TICK_MS = 400;
@@ -11,7 +13,7 @@
 const PEERS = ["b", "c", "d"];
 
 /** A monitor, a clock that counts who looks at it, and the probes that were sent. */
-function counted(machines: number) {
+function counted(machines: number, mode: "observe" | "enforce" = "enforce") {
   let now = 0;
   const counts = { looks: 0, probes: [] as LinkName[] };
   const monitor = new LinkMonitor(
@@ -19,7 +21,7 @@
       node: "a",
       incarnation: "a.1",
       peers: PEERS,
-      mode: "enforce",
+      mode,
       timings: deriveLinkTimings(linkSettingsSchema.parse({}), INPUTS),
       probes: { cloudRps: 4, controllers: 4, share: 0.02 },
       misroutedWindowMs: 8000,
@@ -112,3 +114,26 @@
   }
   assert.ok(sent <= 60_000 / (INPUTS.reportMs / 2), `${sent} views a minute`);
 });
+
+// Fails if a monitor that only observes counts hand-overs, or keeps shards from peers.
+test("a monitor that observes restricts nothing, and shows what would be", () => {
+  const { monitor, tick } = counted(10, "observe");
+  for (let i = 0; i < 20; i++) {
+    tick();
+    monitor.tell({ kind: "observed", observation: { kind: "refused", link: "state" } });
+  }
+  assert.deepEqual(monitor.status().lost, ["state"]);
+  for (const activity of ACTIVITIES) assert.ok(monitor.allows(activity) && !monitor.refuses(activity));
+  for (let i = 0; i < 3; i++) assert.ok(monitor.tryHandOver(0), "no hand-over waits for another");
+  const workers = { link: "workers", direction: "inbound" as const, state: "down" as const };
+  const view = {
+    version: VIEW_VERSION,
+    node: "b",
+    incarnation: "b.1",
+    sequence: 1,
+    links: [workers],
+    misrouted: [],
+  };
+  assert.equal(monitor.incoming(encodeView(view)), "b");
+  assert.equal(monitor.cannotHearWorkers("b"), false);
+});
--- a/test/links-properties.test.ts
+++ b/test/links-properties.test.ts
@@ -52,6 +52,9 @@
       if (rule.decision !== "allowed") assert.notEqual(rule.reason, "");
       if (lost.has("peers")) assert.notEqual(rule.decision, "delegated");
     }
+    for (const rule of Object.values(rulesWithout(lost, true))) {
+      assert.notEqual(rule.decision, "delegated", "a controller without peers passes nothing on");
+    }
   };
   fc.assert(fc.property(losses, holds), RUNS);
 });
