Keep a link's diagnosis with its evidence, and do nothing for a report while the monitor is off

- The router worked out a shard's token for every report, also while no monitor runs; it is compared only where one does.
- What is reported of a link stood in a map of its own beside the table of links and was found by a scan; it is in the table's entry now.
A report's observation makes one look-up where it made three.
- Whether a peer has lost its workers was checked in two places; the remedies' check serves both.
- The observation 'failed' was never made and is gone; the measurement's isDown and isUp are one function.

--- a/src/link-monitoring.ts
+++ b/src/link-monitoring.ts
@@ -110,11 +110,12 @@
     if (this.monitor !== null) this.sink({ kind: "delivered", link: "users", direction: "inbound" });
   }
 
-  /** A report of a worker of an own shard came; whether it shows that an answer of this term was taken. */
-  noteReport(provesAnswer: boolean): void {
+  /** A report of a worker of an own shard came; the token of the present term shows that an answer was taken. */
+  noteReport(shard: number, token: number): void {
     if (this.monitor === null) return;
     this.sink({ kind: "delivered", link: "workers", direction: "inbound" });
-    if (provesAnswer) this.sink({ kind: "delivered", link: "workers", direction: "outbound" });
+    if (token === this.parts?.membership.token(shard))
+      this.sink({ kind: "delivered", link: "workers", direction: "outbound" });
   }
 
   /** A worker that follows the token of another controller's shard came here. */
--- a/src/links/link-table.ts
+++ b/src/links/link-table.ts
@@ -1,4 +1,5 @@
 /** All links of one controller with the tracks of both their directions. */
+import type { Diagnosis } from "./diagnosis.js";
 import { DirectionTrack, type TrackTimings } from "./direction-track.js";
 import { DIRECTIONS, peerLink, type Direction, type LinkName, type Observation } from "./model.js";
 
@@ -11,8 +12,12 @@
   since: number;
   /** Since when it has been failing or recovering from that; null while it works. */
   failingSince: number | null;
+  /** What is reported of it, as of the last review. */
+  diagnosis: Diagnosis;
 }
 
+const UNDIAGNOSED: Diagnosis = { state: "unknown", evidence: "no_traffic", scope: "none" };
+
 /** The tracks of all links, by link and direction. Their number is that of the controllers, not of the machines. */
 export class LinkTable {
   private readonly entries = new Map<string, TrackEntry>();
@@ -22,7 +27,8 @@
     for (const link of links)
       for (const direction of DIRECTIONS) {
         const track = new DirectionTrack(timings);
-        this.entries.set(keyOf(link, direction), { link, direction, track, since: now, failingSince: null });
+        const entry = { link, direction, track, since: now, failingSince: null, diagnosis: UNDIAGNOSED };
+        this.entries.set(keyOf(link, direction), entry);
       }
   }
 
@@ -30,6 +36,11 @@
     return this.entries.values();
   }
 
+  /** What is reported of one direction of a link. */
+  diagnosis(link: LinkName, direction: Direction): Diagnosis {
+    return this.entries.get(keyOf(link, direction))?.diagnosis ?? UNDIAGNOSED;
+  }
+
   /** Undefined for a peer that the settings do not name. */
   track(link: LinkName, direction: Direction): DirectionTrack | undefined {
     return this.entries.get(keyOf(link, direction))?.track;
@@ -38,15 +49,14 @@
   /** Brings an observation to the directions that it tells of. */
   observe(observation: Observation, now: number): void {
     const { link } = observation;
+    // Most observations are of reports: they need one look-up.
+    if (observation.kind === "delivered") {
+      this.track(link, observation.direction)?.delivered(now);
+      return;
+    }
     const outbound = this.track(link, "outbound");
     const inbound = this.track(link, "inbound");
     switch (observation.kind) {
-      case "delivered":
-        this.track(link, observation.direction)?.delivered(now);
-        return;
-      case "failed":
-        this.track(link, observation.direction)?.failed(now, observation.cause);
-        return;
       case "answered":
         outbound?.answered(now, observation.latencyMs);
         inbound?.answered(now, observation.latencyMs);
--- a/src/links/model.ts
+++ b/src/links/model.ts
@@ -49,7 +49,6 @@
 /** One piece of evidence about one direction, or both, of a link. */
 export type Observation =
   | { kind: "delivered"; link: LinkName; direction: Direction }
-  | { kind: "failed"; link: LinkName; direction: Direction; cause: FailureCause }
   /** A call was answered, after so long. */
   | { kind: "answered"; link: LinkName; latencyMs: number }
   /** A call was answered with a refusal: traffic passes both ways, and what was asked was not done. */
--- a/src/links/monitor.ts
+++ b/src/links/monitor.ts
@@ -8,15 +8,21 @@
 import type { Logger } from "../runtime/log.js";
 import { AwakeClock } from "./awake-clock.js";
 import { Backoff } from "./backoff.js";
-import { diagnose, type Diagnosis } from "./diagnosis.js";
+import { diagnose } from "./diagnosis.js";
 import type { DirectionTrack } from "./direction-track.js";
 import { LinkTable, type TrackEntry } from "./link-table.js";
 import { MisroutedWorkers } from "./misrouted-workers.js";
-import { peerLink, type Direction, type DirectionReport, type LinkName, type Observation } from "./model.js";
+import { peerLink, type DirectionReport, type LinkName, type Observation } from "./model.js";
 import { ACTIVITIES, NORMAL_RULES, rulesWithout, type Activity, type Loss, type Rules } from "./policy.js";
 import { ProbeBudget, type ProbeRates } from "./probes.js";
 import { ReportRate } from "./report-rate.js";
-import { decideRemedies, misroutedAt, type OwnedShardStatus, type Remedy } from "./remedies.js";
+import {
+  decideRemedies,
+  hasLostWorkers,
+  misroutedAt,
+  type OwnedShardStatus,
+  type Remedy,
+} from "./remedies.js";
 import type { LinkTimings, MonitorMode } from "./settings.js";
 import type { LinkStatus } from "./status.js";
 import { ViewBook, type Votes } from "./view-book.js";
@@ -70,7 +76,6 @@
   private readonly budget: ProbeBudget;
   private readonly reportRate: ReportRate;
   private readonly moves: Backoff<number | typeof RESIGNATION>;
-  private readonly diagnoses = new Map<TrackEntry, Diagnosis>();
   private readonly dropped = new Map<ViewRejection, number>();
   private readonly viewSentAt = new Map<string, number>();
   private sequence = 0;
@@ -121,7 +126,7 @@
   cannotHearWorkers(node: string): boolean {
     if (this.options.mode !== "enforce") return false;
     const view = this.views.of(node, this.options.clock());
-    return view?.links.some(({ link, state }) => link === "workers" && state === "down") ?? false;
+    return view !== undefined && hasLostWorkers(view);
   }
 
   /** The view to attach to a frame to a peer, if it is time for one. */
@@ -258,12 +263,12 @@
   private review(shards: OwnedShardStatus[]): void {
     const now = this.awake.now();
     for (const entry of this.table.all()) {
-      const before = this.diagnoses.get(entry)?.state ?? "unknown";
+      const before = entry.diagnosis.state;
       entry.track.review(now);
       if (!entry.track.inDoubt) entry.failingSince = null;
       else entry.failingSince ??= this.options.clock();
       const { link, direction, track } = entry;
-      const diagnosis = diagnose({
+      entry.diagnosis = diagnose({
         link,
         direction,
         state: track.state,
@@ -271,8 +276,7 @@
         stalled: this.awake.delayed,
         votes: this.votesOn(entry, shards),
       });
-      this.diagnoses.set(entry, diagnosis);
-      if (diagnosis.state !== before) this.noteTransition(entry, before, diagnosis);
+      if (entry.diagnosis.state !== before) this.noteTransition(entry, before);
     }
     this.updateRules();
   }
@@ -290,7 +294,8 @@
     return { working: heardBy.map((view) => view.node), failing: [] };
   }
 
-  private noteTransition(entry: TrackEntry, from: string, { state, evidence, scope }: Diagnosis): void {
+  private noteTransition(entry: TrackEntry, from: string): void {
+    const { state, evidence, scope } = entry.diagnosis;
     const now = this.options.clock();
     const afterMs = Math.round(now - entry.since);
     entry.since = now;
@@ -310,7 +315,7 @@
 
   private losses(): Set<Loss> {
     const lost = new Set<Loss>();
-    const state = [this.diagnosis("state", "outbound"), this.diagnosis("state", "inbound")];
+    const state = [this.table.diagnosis("state", "outbound"), this.table.diagnosis("state", "inbound")];
     const stateDown = state.find((direction) => direction.state === "down");
     if (stateDown !== undefined) lost.add(stateDown.scope === "everyone" ? "state_for_all" : "state");
     for (const link of ["workers", "cloud", "users"] as const) if (this.isDown(link)) lost.add(link);
@@ -321,20 +326,15 @@
 
   private isDown(link: LinkName): boolean {
     return (
-      this.diagnosis(link, "outbound").state === "down" || this.diagnosis(link, "inbound").state === "down"
+      this.table.diagnosis(link, "outbound").state === "down" ||
+      this.table.diagnosis(link, "inbound").state === "down"
     );
   }
 
-  private diagnosis(link: LinkName, direction: Direction): Diagnosis {
-    for (const [entry, diagnosis] of this.diagnoses)
-      if (entry.link === link && entry.direction === direction) return diagnosis;
-    return { state: "unknown", evidence: "no_traffic", scope: "none" };
-  }
-
   private report(entry: TrackEntry): DirectionReport {
     const { link, direction } = entry;
     const forMs = this.options.clock() - entry.since;
-    return { link, direction, forMs, ...this.diagnosis(link, direction) };
+    return { link, direction, forMs, ...entry.diagnosis };
   }
 
   private probeLinks(): void {
@@ -370,7 +370,7 @@
   private carryOutRemedies(shards: OwnedShardStatus[]): void {
     const now = this.options.clock();
     const remedies = decideRemedies({
-      diagnosis: (link, direction) => this.diagnosis(link, direction),
+      diagnosis: (link, direction) => this.table.diagnosis(link, direction),
       shards,
       leads: this.hooks.leads(),
       peers: this.views.fresh(now).filter((view) => this.hooks.isMember(view.node)),
--- a/src/links/remedies.ts
+++ b/src/links/remedies.ts
@@ -1,6 +1,6 @@
 /** What a controller does of its own accord about a link that is down: pass on what a peer can do better. Pure. */
 import type { Diagnosis } from "./diagnosis.js";
-import type { Direction, LinkName } from "./model.js";
+import { DIRECTIONS, type Direction, type LinkName } from "./model.js";
 import { stateIn } from "./view-book.js";
 import type { LinkView } from "./views.js";
 
@@ -70,11 +70,12 @@
 }
 
 function fit(view: LinkView): boolean {
-  return (
-    stateIn(view, "state", "outbound") !== "down" &&
-    stateIn(view, "workers", "inbound") !== "down" &&
-    stateIn(view, "workers", "outbound") !== "down"
-  );
+  return stateIn(view, "state", "outbound") !== "down" && !hasLostWorkers(view);
+}
+
+/** Whether a peer finds its workers lost, in either direction. */
+export function hasLostWorkers(view: LinkView): boolean {
+  return DIRECTIONS.some((direction) => stateIn(view, "workers", direction) === "down");
 }
 
 function resignation(view: RemedyView): Remedy[] {
--- a/src/report-router.ts
+++ b/src/report-router.ts
@@ -49,7 +49,7 @@
     }
     const owner = this.parts.ownerOf(record.shard);
     if (owner === undefined) this.reportMisrouted(record.shard, report);
-    else this.parts.links.noteReport(report.token === this.parts.membership.token(record.shard));
+    else this.parts.links.noteReport(record.shard, report.token);
     if (owner === undefined || owner.writableNeedDrain) return this.redirect(record.shard);
     const answer = await owner.ask<ReportAnswer>((reply) => ({ kind: "report", report, reply }));
     return answer.kind === "commands" ? answer : this.redirect(record.shard);
--- a/test/measure/links.ts
+++ b/test/measure/links.ts
@@ -5,7 +5,7 @@
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import type { Direction } from "../../src/links/model.js";
+import type { Direction, LinkState } from "../../src/links/model.js";
 import type { MonitorMode } from "../../src/links/settings.js";
 import { playSchedule, type ScheduledFault, type ScheduledLink } from "../support/link-cuts.js";
 import { Simulation, type SimulatedNode } from "../support/simulation.js";
@@ -82,22 +82,9 @@
   }
 }
 
-function isDown(node: SimulatedNode, link: string, direction: Direction): boolean {
-  const status = node.life?.controller.door.linkStatus();
-  return (
-    status?.links.some(
-      (report) => report.link.startsWith(link) && report.direction === direction && report.state === "down",
-    ) ?? false
-  );
-}
-
-function isUp(node: SimulatedNode, link: string, direction: Direction): boolean {
-  const status = node.life?.controller.door.linkStatus();
-  return (
-    status?.links.some(
-      (report) => report.link.startsWith(link) && report.direction === direction && report.state === "up",
-    ) ?? false
-  );
+function isIn(state: LinkState, node: SimulatedNode, link: string, direction: Direction): boolean {
+  const links = node.life?.controller.door.linkStatus().links ?? [];
+  return links.some((of) => of.link.startsWith(link) && of.direction === direction && of.state === state);
 }
 
 /** Report intervals until something holds; null if it never does. */
@@ -125,7 +112,7 @@
     // A shard that has passed on leaves no workers to be missed: what comes first ends the other's chance.
     await world.runUntil(() => {
       const reports = (world.now - since) / world.settings.workers.reportMs;
-      if (isDown(node, shown, direction)) after.shown ??= reports;
+      if (isIn("down", node, shown, direction)) after.shown ??= reports;
       if (handled?.()) after.handled ??= reports;
       return handled === null ? after.shown !== null : after.handled !== null;
     }, GIVE_UP_MS);
@@ -133,7 +120,7 @@
     if (handled !== null) into.handled.push(after.handled);
     node.cut[link] = false;
     if (link !== "workers" && link !== "cloud")
-      into.recovered.push(await reportsUntil(world, () => isUp(node, shown, direction)));
+      into.recovered.push(await reportsUntil(world, () => isIn("up", node, shown, direction)));
     over = true;
   });
 }
