Reproduce ran_cancelled: owners that answer once renew leases without the stops they know of

Every owner knows the cancellation; its answer to a report without its own token carries no commands, and renews the worker's lease. Tasks of a cancelled job ran on past cancel_s for as long as owners changed. No behaviour is changed here.

--- a/test/fault-combinations.test.ts
+++ b/test/fault-combinations.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { knownRed } from "./support/known-red.js";
 import { faultCombinations } from "./support/fault-combinations.js";
+import { cancellationChains } from "./support/cancellation-chains.js";
 import { jobTransfers } from "./support/job-transfers.js";
 import { Simulation } from "./support/simulation.js";
 import type { SettingsOptions } from "./support/settings.js";
@@ -36,7 +37,11 @@
   }
 }
 
-for (const { name: combination, play, settings } of [...faultCombinations, ...jobTransfers]) {
+for (const { name: combination, play, settings } of [
+  ...faultCombinations,
+  ...jobTransfers,
+  ...cancellationChains,
+]) {
   const name = `faults combined: ${combination}`;
   test(name, knownRed(name), async () => {
     for (let seed = 1; seed <= 2; seed++) await day(seed, play, settings);
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -92,6 +92,11 @@
     void this.run();
   }
 
+  /** The highest token that any answer has shown to this worker. */
+  get highestToken(): number {
+    return this.baton;
+  }
+
   /** The cloud takes the machine away. */
   stop(): void {
     this.stopped = true;
