Stop cancelled tasks with a new owner's first answer, and put stops before all else

Cause: an owner answered a report without its own token with its token and no commands. That answer renews the worker's lease, tasks of cancelled jobs included, although the owner knew the cancellation. The bound on the view's age (cancel_s less a lease less two reports) covers the last renewal on an old view, and not one more renewal an owner: owners that follow each other within a lease kept a cancelled task running without end. An answer cut to its most commands could drop stops as well.

Now any answer stops what its owner knows to be over; nothing else of such a report is believed.

--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -42,7 +42,7 @@
   noteSession(machine, report.session, context);
   machine.seq = report.seq;
   machine.spokeAt ??= now;
-  if (!context.ofTerm(report.token)) return takeUnfollowed(machine, context);
+  if (!context.ofTerm(report.token)) return takeUnfollowed(machine, report, context);
   machine.lastReportAt = now;
   machine.silentSince = null;
   machine.noticeS = report.noticeS;
@@ -61,7 +61,18 @@
   dropUnseen(machine, seen, now);
   for (const placement of machine.placements) commands.push(...commandsFor(placement));
   noteEmptiness(machine, context.now);
-  return commands.slice(0, MAX_COMMANDS);
+  return withinLimit(commands);
+}
+
+/**
+ * As many commands as one answer holds, and stops before all others. Guards against a cancelled task whose lease is renewed
+ * by an answer that had no room for its stop.
+ */
+export function withinLimit(commands: Command[]): Command[] {
+  if (commands.length <= MAX_COMMANDS) return commands;
+  const stops = commands.filter(({ op }) => op === "stop");
+  const others = commands.filter(({ op }) => op !== "stop");
+  return [...stops, ...others].slice(0, MAX_COMMANDS);
 }
 
 /**
@@ -75,11 +86,26 @@
  * answer that takes longer than its time-out. Reports after both say nothing of the lease any more: the machine counts
  * as silent then, however often it speaks, and holds up neither the shard nor a job.
  */
-function takeUnfollowed(machine: Machine, { now, startedAt, leaseMs }: ReportContext): Command[] {
+function takeUnfollowed(machine: Machine, report: WorkerReport, context: ReportContext): Command[] {
+  const { now, startedAt, leaseMs } = context;
   if (now - startedAt <= leaseMs + REPORT_TIMEOUT_S * 1000) machine.lastReportAt = now;
-  return [];
+  return stopsOfEndedJobs(report, context);
 }
 
+/**
+ * Guards against `ran_cancelled`: the answer renews the worker's lease, so that owners which follow each other within a
+ * lease would keep a cancelled task running for as long as each ends before the worker's second report. A stop needs no
+ * proof: whatever has happened to the task since the report was made, it must not go on.
+ */
+function stopsOfEndedJobs(report: WorkerReport, { jobs }: ReportContext): Command[] {
+  return report.tasks
+    .filter((task) => task.state !== "exited" && !isLive(jobs.get(task.job)))
+    .map(({ job, index, attempt }) => ({ op: "stop", job, index, attempt, graceS: 0 }));
+}
+
+/** Whether a job's tasks may go on, as far as the records are known. */
+export const isLive = (job: Job | undefined): job is Job => job !== undefined && !job.closing;
+
 /**
  * A session ends when no answer has come for a lease. Where answers were given all the while, they do not arrive; the
  * machine takes nothing new until a session has outlived a lease.
