--- a/test/support/cloud.ts
+++ b/test/support/cloud.ts
@@ -1,4 +1,5 @@
 /** A stand-in for the cloud: its machines run a worker stand-in each. */
+import { sleep } from "../../src/runtime/wait.js";
 import { listen, type Listening, type Reply } from "./http.js";
 import {
   WorkerStandIn,
@@ -45,8 +46,8 @@
     this.observer?.completed(piece);
   }
 
-  ended(piece: string, worker: WorkerStandIn, cause: EndCause): void {
-    this.observer?.ended?.(piece, worker, cause);
+  ended(piece: string, worker: WorkerStandIn, cause: EndCause, at: number): void {
+    this.observer?.ended?.(piece, worker, cause, at);
   }
 
   /** How many machines have ever been rented. */
@@ -107,6 +108,8 @@
   controllers: { node: string; address: string }[],
   figures: WorkerFigures,
   observer?: CloudObserver,
+  /** How long an answer to a worker is held up on its way. */
+  answerDelayMs: () => number = () => 0,
 ): Promise<Cloud & Listening> {
   const network: WorkerNetwork = {
     controllers: controllers.map((c) => c.node),
@@ -117,7 +120,10 @@
         body: text,
         signal: AbortSignal.timeout(timeoutMs),
       });
-      return { status: response.status, body: await response.json() };
+      const answer = { status: response.status, body: (await response.json()) as unknown };
+      const delayMs = answerDelayMs();
+      if (delayMs > 0) await sleep(delayMs);
+      return answer;
     },
   };
   const standIn = new Cloud(network, figures, observer);
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -1,6 +1,6 @@
 /** Real controller processes on loopback, against the stand-ins. */
 import { spawn, type ChildProcess } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, type AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -12,10 +12,10 @@
 import type { Listening } from "./http.js";
 import type { EndCause, WorkerFigures, WorkerStandIn } from "./worker.js";
 import { settingsText } from "./settings.js";
-import { stateService, type StateStandIn, type StateStore } from "./state-service.js";
+import { stateService, type StateStandIn, type StateStore, type TransactionFate } from "./state-service.js";
 
 /** Short enough for tests, long enough for a loaded machine: everything else follows from these. */
-const FIGURES = { reportMs: 200, leaseMs: 4000, runMs: 600 };
+const FIGURES: ClusterFigures = { reportMs: 200, leaseMs: 4000, runMs: 600, cancelMs: 16_000 };
 
 /** How long a test waits for something that must happen before it gives up; says nothing about how fast it is. */
 const QUEUE_TIMEOUT_MS = 60_000;
@@ -52,22 +52,43 @@
   operator?: string;
   /** Whether every link passes through a proxy that can cut it. */
   proxied?: boolean;
+  /** Workers' intervals and lease, where tests need others. */
+  figures?: ClusterFigures;
+  teams?: string;
+  /** The folder that controllers' logs go to; they are thrown away otherwise. */
+  logFolder?: string;
+  /** Told of what the cloud and its machines see, beside the history. */
+  observer?: CloudObserver;
+  /** What becomes of transactions on their way to the state service. */
+  transactionFate?: () => TransactionFate;
+  /** How long answers to workers are held up. */
+  answerDelayMs?: () => number;
+}
+
+/** Durations that everything in a cluster follows from. */
+export interface ClusterFigures extends WorkerFigures {
+  cancelMs: number;
 }
 
 /** Writes down what workers and the cloud see. */
 class HistoryRecorder implements CloudObserver {
   history: HistoryEvent[] = [];
 
+  constructor(private readonly beside: CloudObserver | undefined) {}
+
   started(piece: string, worker: WorkerStandIn): void {
     this.history.push({ kind: "started", piece, host: worker.host });
+    this.beside?.started(piece, worker);
   }
 
-  completed(): void {
+  completed(piece: string): void {
     // Seen as the end of an attempt.
+    this.beside?.completed(piece);
   }
 
-  ended(piece: string, worker: WorkerStandIn, cause: EndCause): void {
+  ended(piece: string, worker: WorkerStandIn, cause: EndCause, at: number): void {
     this.history.push({ kind: "ended", piece, host: worker.host, cause });
+    this.beside?.ended?.(piece, worker, cause, at);
   }
 
   rented(order: string): void {
@@ -91,7 +112,7 @@
     readonly cloud: Cloud & Listening,
     readonly nodes: { node: string; address: string; back: string }[],
     /** What all workers are like, those yet to come included. */
-    readonly workers: WorkerFigures,
+    readonly workers: ClusterFigures,
     private readonly options: ClusterOptions,
   ) {}
 
@@ -105,12 +126,12 @@
       const [port, back] = [await freePort(), await freePort()];
       nodes.push({ node: `node-${i}`, address: `${HOST}:${port}`, back: `${HOST}:${back}` });
     }
-    const workers = { ...FIGURES };
-    const service = await stateService(count);
+    const workers = { ...(options.figures ?? FIGURES) };
+    const service = await stateService(count, options.transactionFate);
     // Workers reach controllers through proxies where there are any, whose addresses are known only then.
     const reached = nodes.map(({ node, address }) => ({ node, address }));
-    const observer = new HistoryRecorder();
-    const standIn = await cloud(reached, workers, observer);
+    const observer = new HistoryRecorder(options.observer);
+    const standIn = await cloud(reached, workers, observer, options.answerDelayMs);
     const cluster = new Cluster(service, standIn, nodes, workers, options);
     observer.history = cluster.history;
     cluster.recordChanges();
@@ -190,20 +211,24 @@
       cloud: this.route(name, "cloud", this.cloud.address),
       state: this.route(name, "state", this.service.addresses[this.nodes.indexOf(self)]!),
       controllers: this.nodes.length,
-      reportS: FIGURES.reportMs / 1000,
-      leaseS: FIGURES.leaseMs / 1000,
-      cancelS: (4 * FIGURES.leaseMs) / 1000,
+      reportS: this.workers.reportMs / 1000,
+      leaseS: this.workers.leaseMs / 1000,
+      cancelS: this.workers.cancelMs / 1000,
+      ...(this.options.teams === undefined ? {} : { teams: this.options.teams }),
     });
     writeFileSync(file, text);
-    const env = { ...process.env, LOG_LEVEL: "error" };
+    const { logFolder } = this.options;
+    const logFile = logFolder === undefined ? null : openSync(join(logFolder, `${name}.log`), "a");
+    const env = { ...process.env, LOG_LEVEL: logFile === null ? "error" : "info" };
     const operator = this.options.operator === undefined ? [] : ["--operator", this.options.operator];
     this.processes.set(
       name,
       spawn(process.execPath, ["target/fernpond.js", ...operator, "--config", file], {
         env,
-        stdio: "ignore",
+        stdio: ["ignore", "ignore", logFile ?? "ignore"],
       }),
     );
+    if (logFile !== null) closeSync(logFile);
   }
 
   /** The settings file of a controller, for commands that are run beside it. */
@@ -214,6 +239,7 @@
   /** Ends a controller without any warning. */
   async kill(name: string): Promise<void> {
     const child = this.processes.get(name)!;
+    if (child.exitCode !== null || child.signalCode !== null) return;
     const gone = new Promise((resolve) => child.once("exit", resolve));
     child.kill("SIGKILL");
     await gone;
@@ -239,13 +265,19 @@
   }
 
   /** One request to one controller; status 0 if it did not answer. */
-  async request(node: number, method: string, path: string, body?: unknown): Promise<Answer> {
+  async request(
+    node: number,
+    method: string,
+    path: string,
+    body?: unknown,
+    timeoutMs = 5000,
+  ): Promise<Answer> {
     try {
       const { node: name, address } = this.nodes[node]!;
       const response = await fetch(`http://${this.route(name, "users", address)}${path}`, {
         method,
         body: body === undefined ? null : typeof body === "string" ? body : JSON.stringify(body),
-        signal: AbortSignal.timeout(5000),
+        signal: AbortSignal.timeout(timeoutMs),
       });
       return { status: response.status, body: (await response.json()) as Record<string, unknown> };
     } catch {
@@ -260,7 +292,7 @@
       const answer = await ask();
       if (wanted(answer)) return answer;
       if (performance.now() > giveUpAt) throw new Error(`still ${JSON.stringify(answer)}`);
-      await sleep(FIGURES.reportMs / 2);
+      await sleep(this.workers.reportMs / 2);
     }
   }
 }
--- a/test/support/state-service.ts
+++ b/test/support/state-service.ts
@@ -183,11 +183,30 @@
   close(): void;
 }
 
+/** What may become of a transaction on its way: nothing, its answer is lost, or it is carried out late. */
+export type TransactionFate = "answered" | "answer_lost" | { lateMs: number };
+
+/** No answer ever comes. */
+const never = (): Promise<Reply> => new Promise(() => undefined);
+
 /** The stand-in on loopback. */
-export async function stateService(nodes: number): Promise<StateStandIn> {
+export async function stateService(
+  nodes: number,
+  fateOf: () => TransactionFate = () => "answered",
+): Promise<StateStandIn> {
   const store = new StateStore();
+  const handle = (node: number, method: string, url: URL, body: unknown): Reply | Promise<Reply> => {
+    const fate = url.pathname === "/multi" ? fateOf() : "answered";
+    if (fate === "answered") return store.handle(node, method, url, body);
+    if (fate === "answer_lost") void store.handle(node, method, url, body);
+    else
+      setTimeout(() => {
+        store.carryOut(body);
+      }, fate.lateMs).unref();
+    return never();
+  };
   const door = (node: number): Promise<Listening> =>
-    listen((method, url, body) => store.handle(node, method, url, body));
+    listen((method, url, body) => handle(node, method, url, body));
   const doors = await Promise.all(Array.from({ length: nodes }, (_, node) => door(node)));
   return {
     store,
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -51,8 +51,8 @@
 export interface WorkerObserver {
   started(piece: string, worker: WorkerStandIn): void;
   completed(piece: string): void;
-  /** An attempt is no longer on the machine. */
-  ended?(piece: string, worker: WorkerStandIn, cause: EndCause): void;
+  /** An attempt is no longer on the machine, since a moment by the network's clock. */
+  ended?(piece: string, worker: WorkerStandIn, cause: EndCause, at: number): void;
 }
 
 /** How an attempt ended; `lost` with the worker's lease or its machine. */
@@ -80,6 +80,7 @@
   private stopped = false;
   private hung = false;
   private leaseTimer: NodeJS.Timeout | undefined;
+  private leaseEndsAt = Infinity;
 
   constructor(
     readonly host: string,
@@ -102,11 +103,11 @@
     this.stopped = true;
     this.well = false;
     clearTimeout(this.leaseTimer);
-    this.loseAll();
+    this.loseAll(this.network.clock());
   }
 
-  private loseAll(): void {
-    for (const piece of this.running) this.observer.ended?.(piece, this, "lost");
+  private loseAll(at: number): void {
+    for (const piece of this.running) this.observer.ended?.(piece, this, "lost", at);
     this.running.clear();
   }
 
@@ -143,17 +144,18 @@
   private renew(sentAt: number): void {
     if (this.stopped) return;
     clearTimeout(this.leaseTimer);
-    const left = sentAt + this.figures.leaseMs - this.network.clock();
+    this.leaseEndsAt = sentAt + this.figures.leaseMs;
     this.leaseTimer = setTimeout(() => {
       this.expire();
-    }, left);
+    }, this.leaseEndsAt - this.network.clock());
     this.leaseTimer.unref();
   }
 
+  /** The lease ended when it was due, also where this process stood still then and notices later. */
   private expire(): void {
     this.tenure++;
     this.pieces = [];
-    this.loseAll();
+    this.loseAll(Math.min(this.leaseEndsAt, this.network.clock()));
     this.renew(this.network.clock());
   }
 
@@ -201,8 +203,13 @@
       await sleep(timeoutMs / 2);
       throw new Error("no answer");
     }
+    const sentAt = this.network.clock();
     const answer = await this.network.send(this.zone, this.node, text, timeoutMs);
-    if (this.responsesLost || this.hung || this.stopped) throw new Error("the answer is lost");
+    const now = this.network.clock();
+    // A process that stood still finds the answer, its time-out and the end of the lease at once.
+    if (now > this.leaseEndsAt) this.expire();
+    const late = now - sentAt > timeoutMs;
+    if (late || this.responsesLost || this.hung || this.stopped) throw new Error("the answer is lost");
     return answer;
   }
 
@@ -246,6 +253,6 @@
     piece.stage = "exited";
     piece.cause = cause;
     this.running.delete(piece.piece);
-    this.observer.ended?.(piece.piece, this, cause);
+    this.observer.ended?.(piece.piece, this, cause, this.network.clock());
   }
 }
