--- a/test/support/soak/faults.ts
+++ b/test/support/soak/faults.ts
@@ -134,11 +134,12 @@
     }
   }
 
-  /** Whoever has answered a worker under a new token ends, and is back within a moment. */
+  /** The owner ends, and then whoever has answered a worker under a new token; each is back within a moment. */
   private async endOwnersAfterFirstAnswer(afterMs: number, backMs: number, forMs: number): Promise<void> {
     const { recorder } = this.targets;
     const until = recorder.now + forMs;
     let answered = this.highestToken();
+    await this.restart(this.nodeOf("owner"), backMs);
     while (recorder.now < until) {
       await sleep(LOOK_MS);
       const token = this.highestToken();
--- a/test/support/soak/plan.ts
+++ b/test/support/soak/plan.ts
@@ -26,7 +26,7 @@
   | { kind: "restart"; target: Target; backMs: number }
   | { kind: "restart_all"; backMs: number }
   | { kind: "owners_in_series"; count: number; gapMs: number; backMs: number }
-  /** Each owner of the first shard is ended a little after its first answer to a worker. */
+  /** The owner of the first shard is ended, and each one after it a little after its first answer to a worker. */
   | { kind: "owners_end_after_first_answer"; afterMs: number; backMs: number; forMs: number }
   | { kind: "pause"; target: Target; forMs: number }
   | { kind: "cut"; target: Target; link: CuttableLink; mode: CutMode; directions: Direction[]; forMs: number }
@@ -149,8 +149,9 @@
 /** Jobs are cancelled, and owners follow each other so that no worker reports to any of them twice. */
 function chain(luck: Luck, at: number): SoakFault[] {
   return [
-    { at, kind: "cancel_running" },
     ownersEndAfterFirstAnswer(luck, at),
+    // While the first owner is away, so that none that its workers follow ever tells them.
+    { at: at + luck.between(20, 200), kind: "cancel_running" },
     {
       at: at + luck.between(500, 8000),
       kind: "machines_hang",
