--- a/src/jobs/service.ts
+++ b/src/jobs/service.ts
@@ -125,7 +125,7 @@
           this.queueTimeoutMs,
         );
         if (!commit.ok) continue;
-        this.log.info({ job: id }, "job cancelled");
+        this.log.info({ job: id, shard: job?.shard, revision: commit.revision }, "job cancelled");
         if (job !== null) this.tellCancelled(job.shard, id);
         this.ended.set(id, ended);
         return { kind: "found", status: endedStatus(id, ended) };
