Close idle connections after a lease: at 4,000 machines kept ones took every socket

Cause: connections were kept for two cancellation times (68 s). Users open one for each question, so that those of the last minute and the workers' together reached the limit of sockets, and new ones were refused. Ruled out at that size: the heap (58 to 75 MB held, no controller ended by itself).

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -270,8 +270,7 @@
   async start(): Promise<Running> {
     const end = this.begin();
     const peerPort = await this.peers.listen(this.settings.peerListen, (request) => this.answerPeer(request));
-    const idleMs = 2 * this.settings.workers.cancelMs;
-    const server = await serve(this.door, this.settings.listen, idleMs);
+    const server = await serve(this.door, this.settings.listen, this.figures.idleConnectionMs);
     const { port } = server;
     this.log.info({ port, peerPort }, "listening");
     return {
--- a/src/timings.ts
+++ b/src/timings.ts
@@ -44,6 +44,12 @@
     tickMs: reportMs / TICKS_PER_REPORT,
     /** A worker that can reach its owner reports within one and a quarter of the interval. */
     quietTicks: (3 / 2) * TICKS_PER_REPORT,
+    /**
+     * A connection on which nothing came for so long is closed. Users come every five seconds and workers every report
+     * interval; past its lease a worker has no use for the connection. Guards against a controller out of sockets: where
+     * users open a connection for each question, those of the last minutes would take all that it has.
+     */
+    idleConnectionMs: leaseMs,
     /** How often an owner is told that its workers come elsewhere. */
     misroutedSpacingMs: reportMs / 4,
     /** A round of placing may take so much of the time between two reports of one worker. */
