--- a/test/support/soak/plan.ts
+++ b/test/support/soak/plan.ts
@@ -168,10 +168,7 @@
   return { at, kind: "owners_end_after_first_answer", afterMs, backMs, forMs };
 }
 
-/** Under the other team's limit a large job would take longer than the run. */
-const LARGE_TEAM = "free";
-
-function jobOf(luck: Luck, number: number, large: boolean): PlannedJob {
+function jobOf(luck: Luck, number: number): PlannedJob {
   const at = luck.between(0, SPELL_MS);
   const long = luck.chance() < 0.5;
   return {
@@ -185,8 +182,8 @@
         ? at + luck.between(100, 8000)
         : null,
     body: {
-      pieces: large ? luck.between(200, 300) : luck.between(1, 8),
-      crew: large ? LARGE_TEAM : luck.oneOf(["free", "free", "capped"]),
+      pieces: luck.between(1, 8),
+      crew: luck.oneOf(["free", "free", "capped"]),
       bank: luck.oneOf([null, null, "north", "south"]),
       rank: luck.oneOf(["best_effort", "normal", "urgent"]),
       vcpus: luck.oneOf([0.5, 1, 2]),
@@ -194,13 +191,22 @@
   };
 }
 
+/** Hundreds of tasks from the beginning, until they are called off: more than a hundred machines each. */
+function largeJobOf(luck: Luck, number: number): PlannedJob {
+  const job = jobOf(luck, number);
+  // Under the other team's limit they would never all run.
+  const body = { ...job.body, pieces: luck.between(250, 300), crew: "free", vcpus: 2 };
+  const cancelAt = luck.between(SPELL_MS / 2, SPELL_MS);
+  return { ...job, at: luck.between(0, 3000), runMs: 600_000, cancelAt, body };
+}
+
 /** Every tenth run has a few hundred workers. */
 const LARGE_EVERY = 10;
 
 /** The plan of a seed. */
 export function planOf(seed: number): SoakPlan {
   const luck = new Luck(seed);
-  const jobs = Array.from({ length: 24 }, (_, i) => jobOf(luck, i, false));
+  const jobs = Array.from({ length: 24 }, (_, i) => jobOf(luck, i));
   // Something long runs from the beginning, so that there is what to cancel.
   jobs.slice(0, 4).forEach((job) => {
     job.at = 0;
@@ -208,7 +214,7 @@
     job.cancelAt = SPELL_MS;
     job.body.crew = "free";
   });
-  if (seed % LARGE_EVERY === 0) for (let i = 0; i < 3; i++) jobs.push(jobOf(luck, 100 + i, true));
+  if (seed % LARGE_EVERY === 0) for (let i = 0; i < 3; i++) jobs.push(largeJobOf(luck, 100 + i));
   const faults: SoakFault[] = [];
   const special = luck.oneOf([gap, chain, chain, null]);
   if (special !== null) faults.push(...special(luck, luck.between(8000, 15_000)));
