--- a/test/support/cancellation-chains.ts
+++ b/test/support/cancellation-chains.ts
@@ -48,23 +48,24 @@
   }
 }
 
-async function cancelElsewhere(world: Simulation, job: UserJob): Promise<void> {
-  const owner = world.ownerOf(0);
+/** A running job, cancelled by another controller while the state service refuses its owner, who hears nothing of it. */
+async function cancelledUnheard(world: Simulation): Promise<UserJob> {
+  const job = await runningOnOneMachine(world);
+  const owner = world.ownerOf(0)!;
   const other = world.nodes.find((node) => node !== owner)!;
+  world.store.refused.add(owner.index);
   await Promise.race([world.cancel(job, other), world.run(5000)]);
   assert.ok(job.cancelledAt !== null, "confirmed");
+  world.store.refused.delete(owner.index);
+  return job;
 }
 
-/** Guarded by the stops that go out with an owner's first answer: see `renewalVerdict`. */
+/** Guarded by the stops that go out with an owner's first answer: see `Renewal.decide`. */
 export const cancellationChains: FaultCombination[] = [
   {
     name: "an owner ends after its first answer to each worker and is back within a moment, again and again, while a job is cancelled",
     async play(world) {
-      const job = await runningOnOneMachine(world);
-      const owner = world.ownerOf(0)!;
-      world.store.refused.add(owner.index);
-      await cancelElsewhere(world, job);
-      world.store.refused.delete(owner.index);
+      const job = await cancelledUnheard(world);
       await endOwnersAfterFirstAnswer(world, job, async (current) => {
         world.crash(current);
         await world.run(BACK_MS);
@@ -75,11 +76,7 @@
   {
     name: "owners follow each other, and each ends before any worker reports to it twice, while a job is cancelled",
     async play(world) {
-      const job = await runningOnOneMachine(world);
-      const owner = world.ownerOf(0)!;
-      world.store.refused.add(owner.index);
-      await cancelElsewhere(world, job);
-      world.store.refused.delete(owner.index);
+      const job = await cancelledUnheard(world);
       await endOwnersAfterFirstAnswer(world, job, async (current) => {
         world.crash(current);
         // Only another controller may take the shard over; the one that ended comes back too late for it.
