--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -242,7 +242,7 @@
   /** A task makes no progress while its machine hangs. */
   private async work(piece: Piece, runMs: number): Promise<void> {
     const { tenure } = this;
-    await sleep(runMs);
+    await sleepUnheld(runMs);
     while (this.hung) await sleep(this.figures.reportMs);
     if (this.stopped || this.tenure !== tenure || piece.stage !== "running") return;
     this.exit(piece, "done");
@@ -256,3 +256,10 @@
     this.observer.ended?.(piece.piece, this, cause, this.network.clock());
   }
 }
+
+/** Guards against a test process that stays until the longest task of a machine that is long gone would have ended. */
+function sleepUnheld(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms).unref();
+  });
+}
