--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -279,6 +279,37 @@
   ],
 };
 
+/** Figures of kit/sites/rutaviva-medellin.toml, without its load. */
+export const RUTAVIVA = {
+  nodes: 3,
+  zones: ["aburra"],
+  teams: Array.from({ length: 16 }, (_, i) => ({
+    name: `red-${String(i).padStart(2, "0")}`,
+    cpus: 16,
+    cpus_max: 48,
+    gpus: 0,
+    gpus_max: 0,
+  })),
+  workers: { report_s: 1.5, lease_s: 10, gang_wait_s: 30, gang_peer_s: 6, cancel_s: 30 },
+  state: { rps: 100, write_rps: 15, value_kb: 8, txn_ops: 8 },
+  cloud: { rps: 8, list_lag_s: 3 },
+  resources: { cpu_share: 0.255, ram_mb: 178, sockets: 1200 },
+  flavors: [
+    {
+      label: "carriel",
+      vcpus: 16,
+      cards: 0,
+      memGb: 64,
+      cacheGb: 35,
+      pullGbPerS: 0.25,
+      hourly: 0.91,
+      lowPrice: 0.34,
+      readyS: 25,
+      banks: ["aburra"],
+    },
+  ],
+};
+
 /** The body of a submission. */
 export function job(id, overrides = {}) {
   return {
