--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,69 +1,95 @@
-/** A valid job is refused for good, because the controllers know only a part of the machine types. */
+/** A job is left waiting for 90 s while a machine that fits has room. */
 import { fileURLToPath } from "node:url";
 import { ARCHEIO, CannotRun, job, runCase } from "../lib/deployment.mjs";
 import { sleep } from "../lib/record.mjs";
 
-/** How late the one transaction without an answer is carried out; the pages name 2 to 12 s. */
-const LATE_MS = 10_000;
+const ARRAY = "req-000001";
+const LONG = "req-000002";
+/** The bound of the rule. */
+const LONGEST_WAIT_S = 90;
 
-const [kouti] = ARCHEIO.flavors;
-const megali = { ...kouti, label: "megali", vcpus: 32, memGb: 128, hourly: 1.68, lowPrice: 0.56 };
-const site = { ...ARCHEIO, flavors: [kouti, megali] };
+/** As on the days of kit/more on which the guest team is there. */
+const site = {
+  ...ARCHEIO,
+  teams: [...ARCHEIO.teams, { name: "lykeio-lens", cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }],
+};
+const array = job(ARRAY, { pieces: 8, guessS: 30 });
+const long = job(LONG, {
+  lane: "siesta-crops",
+  crew: "lykeio-lens",
+  rank: "best_effort",
+  pieces: 2,
+  vcpus: 2,
+  memGb: 7.2,
+  bundle: "img-siesta",
+  imageGb: 0.5,
+  guessS: 300,
+  markEveryS: 30,
+  markCostS: 3,
+});
+/** The cloud has two machines; all later requests are refused, as it has no others. */
+const options = { capacity: (flavor, zone, isSpot, cloud) => 3 - cloud.nextNumber };
 
 await runCase(
   fileURLToPath(new URL(".", import.meta.url)),
   site,
-  {},
+  options,
   async (deployment, isTroubled, record) => {
-    let transactions = 0;
-    let late = 0;
-    deployment.state.delivery = (node, body) => {
-      transactions++;
-      const writesLargeType = (body.apply ?? []).some((op) =>
-        op.put?.startsWith("fernpond/live/types/megali"),
-      );
-      if (!isTroubled || late > 0 || !writesLargeType) return "normal";
-      late++;
-      record.add("transaction gets no answer and is carried out late", {
-        node: deployment.nodes[node].name,
-        transaction: transactions,
-        lateMs: LATE_MS,
-        body,
-      });
-      return { lateMs: LATE_MS };
-    };
+    const { cloud, starts, results } = deployment;
+    const firstStart = (id) => starts.find(({ task }) => task.startsWith(`${id}/`));
     await deployment.waitUntilUp();
-    // The first job fits both types. Once it is accepted, the controllers have begun to decide on submissions.
-    const first = await deployment.submit(job("req-000001", { guessS: 5 }));
-    if (first.status !== 201) throw new CannotRun("the first job was not accepted");
-    await sleep(2000);
+    for (const body of [array, long])
+      if ((await deployment.submit(body)).status !== 201) throw new CannotRun("a job was not accepted");
+    await deployment.waitUntil("both jobs run", () => firstStart(ARRAY) && firstStart(LONG), 60);
+    const { host } = firstStart(ARRAY);
+    if (firstStart(LONG).host === host) throw new CannotRun("both jobs run on one machine");
+    await sleep(3000);
+    if (isTroubled) {
+      record.add("machine stops with all that is on it", { host });
+      cloud.die(host);
+    }
 
-    const answers = [];
-    for (let node = 0; node < site.nodes; node++)
-      answers.push(
-        await deployment.submit(
-          job(`req-00001${node}`, { vcpus: 16, memGb: 40, guessS: 5, pieces: 1 }),
-          node,
-        ),
+    // Whether a machine is up that has room for a task of the array, by what is on it, the tasks that fetch included.
+    const hasRoom = (worker) => {
+      const [flavor] = site.flavors;
+      let { vcpus, memGb } = flavor;
+      for (const { piece, stage } of worker.tasks.values()) {
+        if (stage === "exited") continue;
+        const spec = deployment.jobs.get(piece.slice(0, piece.indexOf("/")));
+        vcpus -= spec.vcpus;
+        memGb -= spec.memGb;
+      }
+      return vcpus >= array.vcpus && memGb >= array.memGb;
+    };
+    const isOnMachine = () =>
+      cloud
+        .workers()
+        .some((worker) =>
+          [...worker.tasks.values()].some(
+            ({ piece, stage }) => piece.startsWith(`${ARRAY}/`) && stage !== "exited",
+          ),
+        );
+    let waitingSince = null;
+    for (;;) {
+      const now = record.now();
+      const left = Array.from({ length: array.pieces }, (_, i) => i).filter(
+        (i) => !results.has(`${ARRAY}/${i}`),
       );
-
-    // The same kind of job, later: it can run, and does.
-    await sleep(LATE_MS + 2000);
-    const later = await deployment.submit(job("req-000020", { vcpus: 16, memGb: 40, guessS: 5, pieces: 1 }));
-    if (later.status !== 201) throw new CannotRun("the later job was not accepted");
-    await deployment.waitUntil(
-      "a task of the later job runs",
-      () => deployment.starts.some(({ task }) => task === "req-000020/0"),
-      60,
-    );
-    record.add("transactions in all", { transactions, late });
-    return answers
-      .filter(({ status }) => status === 400 || status === 422)
-      .map(({ status, body, answeredAt }) => ({
-        rule: "refused_though_it_can_run",
-        status,
-        body,
-        answeredAt,
-      }));
+      if (left.length === 0) return [];
+      const withRoom = cloud
+        .workers()
+        .filter(hasRoom)
+        .map((worker) => worker.host);
+      const isWaiting = !isOnMachine() && withRoom.length > 0;
+      waitingSince = isWaiting ? (waitingSince ?? now) : null;
+      record.add("array", { tasksLeft: left.length, isWaiting, machinesWithRoom: withRoom });
+      if (waitingSince !== null && now - waitingSince > LONGEST_WAIT_S) {
+        await deployment.ask(0, "GET", `/work/${ARRAY}`, undefined, 2000);
+        return [
+          { rule: "left_waiting", job: ARRAY, waitedS: now - waitingSince, machinesWithRoom: withRoom },
+        ];
+      }
+      await sleep(1000);
+    }
   },
 );
