Place the tasks of one job without searching from its first task each time

Cause: for each task that a round places, nextUnplacedIndex searched for the next waiting one from the job's first, past all tasks placed in the round, so that the time grew with the square of the tasks that fit on the machines.

Change: a round takes a job's waiting tasks from one generator, and a job remembers below which number no task waits, so that heartbeats do not search past its running tasks either.

The overrun of the budget within a job is a fault of its own.

--- a/src/placement/job-placement.ts
+++ b/src/placement/job-placement.ts
@@ -39,8 +39,10 @@
   usage: QuotaUsage;
   /** The number of the job's tasks in each zone; null if the job has no zone constraint. */
   tasksByZone: Map<string, number> | null;
-  /** The indexes of the tasks placed in this round. */
-  placedIndexes: Set<number>;
+  /** The job's waiting tasks that this round has not placed. */
+  waitingTasks: Iterator<number, void>;
+  /** How many of its tasks this round has placed. */
+  placedCount: number;
 }
 
 function placeJob(job: Job, state: RoundState, team: Team | undefined, usage: QuotaUsage): void {
@@ -54,7 +56,8 @@
   candidates.sort((a, b) => b.score - a.score);
   const { oneZone, spread } = job.spec;
   const tasksByZone = oneZone || spread ? countTasksByZone(job) : null;
-  const allocation = { job, state, team, usage, tasksByZone, placedIndexes: new Set<number>() };
+  const waitingTasks = job.waitingTasks();
+  const allocation: JobAllocation = { job, state, team, usage, tasksByZone, waitingTasks, placedCount: 0 };
   for (const { capacity } of candidates) if (!fillMachine(capacity, allocation)) return;
 }
 
@@ -72,14 +75,14 @@
 
 /** Places as many tasks of the job on a machine as allowed. Returns false if no other machine may take one either. */
 function fillMachine(capacity: MachineCapacity, allocation: JobAllocation): boolean {
-  const { job, state, tasksByZone, placedIndexes } = allocation;
+  const { job, state, tasksByZone } = allocation;
   const { machine } = capacity;
   while (canTakeTask(capacity, allocation)) {
     if (tasksByZone !== null && !allowsZone(job, machine.record.zone, tasksByZone)) break;
-    const index = nextUnplacedIndex(job, placedIndexes);
-    if (index === null) return false;
-    placedIndexes.add(index);
-    state.starts.push({ job, index, machine });
+    const next = allocation.waitingTasks.next();
+    if (next.done === true) return false;
+    allocation.placedCount++;
+    state.starts.push({ job, index: next.value, machine });
     subtractResources(capacity, job.spec);
     addUsage(allocation.usage, job.spec);
     if (tasksByZone !== null) countZone(tasksByZone, machine);
@@ -90,17 +93,11 @@
 
 function canTakeTask(
   capacity: MachineCapacity,
-  { job, state, team, usage, placedIndexes }: JobAllocation,
+  { job, state, team, usage, placedCount }: JobAllocation,
 ): boolean {
   return (
-    placedIndexes.size < job.startableTasks &&
+    placedCount < job.startableTasks &&
     fits(capacity, job.spec) &&
     isWithinQuota(team, usage, state.quota.unreconciled, job.spec)
   );
 }
-
-function nextUnplacedIndex(job: Job, placedIndexes: Set<number>): number | null {
-  for (let i = job.nextWaitingTask() ?? job.spec.tasks; i < job.spec.tasks; i++)
-    if (!job.done.has(i) && !job.activeAttempts.has(i) && !placedIndexes.has(i)) return i;
-  return null;
-}
--- a/src/workers/job.ts
+++ b/src/workers/job.ts
@@ -21,8 +21,8 @@
   readonly interruptedTasks = new Set<number>();
   /** The number of active attempts whose task is not completed; maintained so that no heartbeat has to count them. */
   private activeUndoneCount = 0;
-  /** Every task below this number is completed. */
-  private firstUndoneHint = 0;
+  /** Every task below this number is completed or placed; no other task is skipped in a search for waiting ones. */
+  private firstWaitingHint = 0;
 
   // Life cycle: written by the shard.
 
@@ -92,7 +92,9 @@
   detach(placement: Placement): void {
     if (this.activeAttempts.get(placement.index) !== placement) return;
     this.activeAttempts.delete(placement.index);
-    if (!this.done.has(placement.index)) this.activeUndoneCount--;
+    if (this.done.has(placement.index)) return;
+    this.activeUndoneCount--;
+    this.firstWaitingHint = Math.min(this.firstWaitingHint, placement.index);
   }
 
   /** Marks a task as completed. Returns false if it was already, or if the job has no such task. */
@@ -110,13 +112,19 @@
     for (const index of this.activeAttempts.keys()) if (!this.done.has(index)) this.activeUndoneCount++;
   }
 
-  /** The lowest waiting task number; null if none waits. Completed tasks stay completed, so the scan skips them. */
-  nextWaitingTask(): number | null {
-    while (this.firstUndoneHint < this.spec.tasks && this.done.has(this.firstUndoneHint))
-      this.firstUndoneHint++;
-    for (let i = this.firstUndoneHint; i < this.spec.tasks; i++)
-      if (!this.done.has(i) && !this.activeAttempts.has(i)) return i;
-    return null;
+  /**
+   * The waiting task numbers in ascending order. A caller that takes many tasks must take them from one generator: each
+   * new one begins at the lowest waiting task.
+   */
+  *waitingTasks(): Generator<number, void> {
+    while (this.firstWaitingHint < this.spec.tasks && !this.isWaiting(this.firstWaitingHint))
+      this.firstWaitingHint++;
+    for (let index = this.firstWaitingHint; index < this.spec.tasks; index++)
+      if (this.isWaiting(index)) yield index;
+  }
+
+  private isWaiting(index: number): boolean {
+    return !this.done.has(index) && !this.activeAttempts.has(index);
   }
 
   /** The number of tasks that run or save their progress. */
