Look at a placement round's time budget within a job, and resume there

Cause: a round looked at its deadline only between two jobs, so that one job with many tasks was placed as a whole, however long that took. Nothing else runs meanwhile: no heartbeat, question or health check is answered.

Change: once a round has placed 400 tasks, it looks at its deadline before each machine; a round that stops within a job names that job, and the next one goes on with its waiting tasks. The 400 let placement go on where preparing the round alone takes its time.

The new test places a job of 4,000 tasks and one of a single task on 1,001 machines with a clock that advances at each reading. Before: one round with 4,001 starts, the test fails. Now: several rounds of fewer than 1,000 each, the small job in the last one.

--- a/src/placement/job-placement.ts
+++ b/src/placement/job-placement.ts
@@ -10,18 +10,25 @@
 import type { RoundState } from "./round-state.js";
 import { needsReservation } from "./starvation.js";
 
+/** A round places at least this many tasks, so that placement goes on even if preparing a round takes all its time. */
+const MIN_STARTS_PER_ROUND = 400;
+
 /**
- * Places as many tasks of a job as capacity and quota allow. If a job that needs a reservation has reached its team's
- * limit, no later job of the team starts in this round: they would use the quota that the starving job waits for.
+ * Places as many tasks of a job as capacity, quota and the round's time allow. If a job that needs a reservation has
+ * reached its team's limit, no later job of the team starts in this round: they would use the quota that the starving
+ * job waits for.
+ *
+ * @returns false if the round's time was up before the job's tasks were offered to all machines
  */
-export function placeWithinQuota(job: Job, state: RoundState): void {
+export function placeWithinQuota(job: Job, state: RoundState): boolean {
   const { team: teamName } = job.spec;
-  if (state.blockedTeams.has(teamName)) return;
+  if (state.blockedTeams.has(teamName)) return true;
   const team = teamOf(job, state.input.teams);
   const usage = state.quota.byTeam.get(teamName) ?? { cpus: 0, gpus: 0 };
-  placeJob(job, state, team, usage);
+  const isComplete = placeJob(job, state, team, usage);
   if (needsReservation(job, state.input) && !isWithinQuota(team, usage, state.quota.unreconciled, job.spec))
     state.blockedTeams.add(teamName);
+  return isComplete;
 }
 
 /** A machine on which a task of the job fits, and its score; the highest score is the best. */
@@ -45,20 +52,25 @@
   placedCount: number;
 }
 
-function placeJob(job: Job, state: RoundState, team: Team | undefined, usage: QuotaUsage): void {
-  if (!isWithinQuota(team, usage, state.quota.unreconciled, job.spec)) return;
+/** Places tasks of a job on the machines in order of their scores. Returns false if the round's time was up first. */
+function placeJob(job: Job, state: RoundState, team: Team | undefined, usage: QuotaUsage): boolean {
+  if (!isWithinQuota(team, usage, state.quota.unreconciled, job.spec)) return true;
   // A suspected faulty job runs one task at a time: one failure is enough to detect the fault, and otherwise failing
   // tasks would occupy machine after machine.
-  if (job.isSuspectedFaulty && job.activeAttempts.size > 0) return;
+  if (job.isSuspectedFaulty && job.activeAttempts.size > 0) return true;
   const candidates = findCandidates(job, state);
-  if (candidates.length === 0) return;
+  if (candidates.length === 0) return true;
   // The score rises as a machine fills up: each machine is filled before the next one is considered.
   candidates.sort((a, b) => b.score - a.score);
   const { oneZone, spread } = job.spec;
   const tasksByZone = oneZone || spread ? countTasksByZone(job) : null;
   const waitingTasks = job.waitingTasks();
   const allocation: JobAllocation = { job, state, team, usage, tasksByZone, waitingTasks, placedCount: 0 };
-  for (const { capacity } of candidates) if (!fillMachine(capacity, allocation)) return;
+  for (const { capacity } of candidates) {
+    if (state.starts.length >= MIN_STARTS_PER_ROUND && state.isTimeUp()) return false;
+    if (!fillMachine(capacity, allocation)) return true;
+  }
+  return true;
 }
 
 function findCandidates(job: Job, state: RoundState): CandidateMachine[] {
--- a/src/placement/placement-round.ts
+++ b/src/placement/placement-round.ts
@@ -1,6 +1,6 @@
 /**
- * Placement rounds: decide which waiting tasks start on which machines. A round over all machines stops at a deadline.
- * Without side effects, except that the clock passed in is read.
+ * Placement rounds: decide which waiting tasks start on which machines. A round over all machines stops at a deadline,
+ * also within a job, and the next one resumes there. Without side effects, except that the clock passed in is read.
  */
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Job } from "../workers/job.js";
@@ -17,7 +17,7 @@
 /** The decisions of a placement round. */
 export interface PlacementRound {
   starts: TaskStart[];
-  /** The id of the job with which the next round starts; null if this round considered the whole queue. */
+  /** The id of the job with which the next round starts; null if this round considered the whole queue in full. */
   resumeAtJobId: string | null;
   /** Machines on which only tasks of the given job may start. */
   reservations: Map<Machine, Job>;
@@ -29,7 +29,8 @@
  * Runs a full round: places the jobs of the queue on the free capacity of all machines.
  *
  * @param queue the waiting jobs in scheduling order
- * @param deadlineAt the reading of `clock` after which no further job is considered; at least one job always is
+ * @param deadlineAt the reading of `clock` after which no further job is considered, and no further machine filled once
+ *   the round has placed enough tasks; at least one job always is considered
  */
 export function placeRound(
   input: PlacementInput,
@@ -38,15 +39,17 @@
   deadlineAt: number,
 ): PlacementRound {
   const capacities = capacityForQueue(queue, input, input.machines);
-  const state = beginRound(input, capacities, new Map(input.preemptionReservations));
+  const isTimeUp = (): boolean => clock() > deadlineAt;
+  const state = beginRound(input, capacities, new Map(input.preemptionReservations), isTimeUp);
   const first = startPosition(queue, input);
   // A resumed round skips the jobs at the head of the queue: their reservations are carried over.
   if (first > 0)
     for (const [machine, job] of input.starvationReservations) state.reservations.set(machine, job);
   for (let i = first; i < queue.length; i++) {
     const { job } = queue[i]!;
-    if (i > first && clock() > deadlineAt) return resultOf(state, job.spec.id);
-    placeWithinQuota(job, state);
+    if (i > first && isTimeUp()) return resultOf(state, job.spec.id);
+    const isComplete = placeWithinQuota(job, state);
+    if (!isComplete) return resultOf(state, job.spec.id);
     if (needsReservation(job, input)) reserveMachineFor(job, state);
   }
   return resultOf(state, null);
--- a/src/placement/round-state.ts
+++ b/src/placement/round-state.ts
@@ -27,16 +27,24 @@
   readonly blockedTeams: Set<string>;
   /** The number of (job, machine) pairs considered. */
   pairsConsidered: number;
+  /** Whether the time of the round is used up. */
+  isTimeUp(): boolean;
 }
 
-/** Creates the state of a round before its first decision. */
+/**
+ * Creates the state of a round before its first decision.
+ *
+ * @param isTimeUp by default the round has as much time as it needs
+ */
 export function beginRound(
   input: PlacementInput,
   capacities: MachineCapacity[],
   reservations: Map<Machine, Job>,
+  isTimeUp: () => boolean = () => false,
 ): RoundState {
   return {
     input,
+    isTimeUp,
     quota: quotaSnapshot(input),
     capacities,
     starts: [],
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -5,7 +5,7 @@
 import { placeOnMachine, placeRound } from "../src/placement/placement-round.js";
 import type { Job } from "../src/workers/job.js";
 import type { Machine } from "../src/workers/machine.js";
-import { newJob, newMachine, placementInput, startTask } from "./support/shard-state.js";
+import { newJob, newMachine, NOW, placementInput, startTask } from "./support/shard-state.js";
 
 /** The needs of a task of which thousands fit on one machine. */
 const TINY = { cpus: 0.0001, memoryGb: 0.0001 };
@@ -16,6 +16,37 @@
 /** Counts how often it is looked up whether a task of the job has an active attempt. */
 const countLookUps = (job: Job) => mock.method(job.activeAttempts, "has").mock;
 
+/** A clock that advances by a millisecond whenever it is read. */
+function tickingClock(): () => number {
+  let now = 0;
+  return () => now++;
+}
+
+void describe("placement/placement-round", () => {
+  // Guards against a round that places one large job as a whole, whatever its time budget: nothing else runs meanwhile.
+  test("a round that reaches its deadline within a job stops there, and the next one goes on with the job", () => {
+    const large = newJob("req-1", { tasks: 4000 });
+    const small = newJob("req-2", {}, NOW + 1);
+    const machines = newMachines(1001);
+    const startsByRound: number[] = [];
+    const order: string[] = [];
+    for (let resumeAtJobId: string | null = null; ;) {
+      const input = placementInput([large, small], machines, { resumeAtJobId });
+      const round = placeRound(input, buildQueue(input), tickingClock(), 5);
+      startsByRound.push(round.starts.length);
+      order.push(...new Set(round.starts.map(({ job }) => job.spec.id)));
+      for (const { job, index, machine } of round.starts) startTask(machine, job, index);
+      resumeAtJobId = round.resumeAtJobId;
+      if (resumeAtJobId === null) break;
+      assert.ok(round.starts.length > 0, "every round places something");
+    }
+    assert.ok(startsByRound.length > 4, `rounds with ${startsByRound.join(", ")} starts`);
+    assert.ok(Math.max(...startsByRound) < 1000, `rounds with ${startsByRound.join(", ")} starts`);
+    assert.deepEqual([large.waitingCount, small.waitingCount], [0, 0]);
+    assert.equal(order.at(-1), "req-2");
+  });
+});
+
 void describe("placement/job-placement", () => {
   // Guards against a search for each task that begins at the job's first one: all controllers hung one after the other.
   test("a round looks at each waiting task of a job once, however many of them fit on a machine", () => {
