Bound the tasks on one machine by what its heartbeat can list

What callers would see: a machine with more than about a thousand tasks sends a heartbeat of more than 64 KiB, which is answered 400, so that its lease ends with all tasks on it, over and over. With more than 300 tasks of a cancelled job the response was refused, which ends the lease as well.

Cause: placement counted CPUs, GPUs and memory alone, and the limit on the commands of a response was lower than the number of tasks on a machine.

Change: a machine has task slots, as many as its heartbeat can list with the longest values (384). Exited tasks count until the worker may forget them. Placement, preemption, forecast, demand and rentals count slots like CPUs, and a response has room for a command to each task.

--- a/src/placement/capacity.ts
+++ b/src/placement/capacity.ts
@@ -1,5 +1,6 @@
 /** Computes whether and how many tasks fit into free capacity. Pure. */
-import type { Resources } from "../workers/resources.js";
+import { MAX_TASKS_PER_MACHINE } from "../wire/index.js";
+import type { RemainingCapacity, Resources } from "../workers/resources.js";
 
 /** The tolerance for rounding errors in sums of fractional resources. */
 export const ROUNDING_TOLERANCE = 1e-9;
@@ -13,14 +14,24 @@
   );
 }
 
-/** How many tasks that need `need` fit into a capacity, such as that of an empty machine; 1 if they need nothing. */
-export function slotsPerMachine(need: Resources, capacity: Resources): number {
-  const slots = Math.min(
-    slotsOf(capacity.cpus, need.cpus),
-    slotsOf(capacity.gpus, need.gpus),
-    slotsOf(capacity.memoryGb, need.memoryGb),
+/** Whether one more task that needs `need` fits into what is left of a machine. */
+export function fitsOneMore(remaining: RemainingCapacity, need: Resources): boolean {
+  return remaining.taskSlots > 0 && fits(remaining, need);
+}
+
+/** How many tasks that need `need` fit into what is left of a machine. */
+export function slotsIn(remaining: RemainingCapacity, need: Resources): number {
+  return Math.min(
+    remaining.taskSlots,
+    slotsOf(remaining.cpus, need.cpus),
+    slotsOf(remaining.gpus, need.gpus),
+    slotsOf(remaining.memoryGb, need.memoryGb),
   );
-  return Number.isFinite(slots) ? slots : 1;
+}
+
+/** How many tasks that need `need` fit on an empty machine of a type. */
+export function slotsPerMachine(need: Resources, { cpus, gpus, memoryGb }: Resources): number {
+  return slotsIn({ cpus, gpus, memoryGb, taskSlots: MAX_TASKS_PER_MACHINE }, need);
 }
 
 function slotsOf(available: number, needPerTask: number): number {
--- a/src/placement/job-placement.ts
+++ b/src/placement/job-placement.ts
@@ -1,8 +1,8 @@
 /** Places the tasks of one job during a placement round: bin packing within the team's quota. */
 import type { Team } from "../config/settings.js";
 import type { Job } from "../workers/job.js";
-import { fits } from "./capacity.js";
-import { subtractResources } from "../workers/resources.js";
+import { fitsOneMore } from "./capacity.js";
+import { takeTask } from "../workers/resources.js";
 import { allowsZone, countTasksByZone, countZone, isEligible } from "./eligibility.js";
 import type { MachineCapacity } from "./machine-capacity.js";
 import { scoreMachine } from "./placement-score.js";
@@ -79,7 +79,7 @@
     state.pairsConsidered++;
     const reservedFor = state.reservations.get(capacity.machine);
     if (reservedFor !== undefined && reservedFor !== job) continue;
-    if (!fits(capacity, job.spec) || !isEligible(job, capacity.machine)) continue;
+    if (!fitsOneMore(capacity, job.spec) || !isEligible(job, capacity.machine)) continue;
     candidates.push({ capacity, score: scoreMachine(job, capacity) });
   }
   return candidates;
@@ -95,7 +95,7 @@
     if (next.done === true) return false;
     allocation.placedCount++;
     state.starts.push({ job, index: next.value, machine });
-    subtractResources(capacity, job.spec);
+    takeTask(capacity, job.spec);
     addUsage(allocation.usage, job.spec);
     if (tasksByZone !== null) countZone(tasksByZone, machine);
     if (job.isSuspectedFaulty) return false;
@@ -109,7 +109,7 @@
 ): boolean {
   return (
     placedCount < job.startableTasks &&
-    fits(capacity, job.spec) &&
+    fitsOneMore(capacity, job.spec) &&
     isWithinQuota(team, usage, state.quota.unreconciled, job.spec)
   );
 }
--- a/src/placement/machine-capacity.ts
+++ b/src/placement/machine-capacity.ts
@@ -2,12 +2,12 @@
 import type { MachineType } from "../wire/index.js";
 import type { Machine } from "../workers/machine.js";
 import { ROUNDING_TOLERANCE, fits } from "./capacity.js";
-import type { Resources } from "../workers/resources.js";
+import type { RemainingCapacity } from "../workers/resources.js";
 import type { QueueEntry } from "./job-queue.js";
 import type { PlacementInput } from "./scheduling-context.js";
 
-/** A machine, its type and its free resources. */
-export interface MachineCapacity extends Resources {
+/** A machine, its type and what is left of it. */
+export interface MachineCapacity extends RemainingCapacity {
   machine: Machine;
   type: MachineType;
 }
@@ -21,6 +21,7 @@
     cpus: type.cpus - used.cpus,
     gpus: type.gpus - used.gpus,
     memoryGb: type.memoryGb - used.memoryGb,
+    taskSlots: machine.freeTaskSlots,
   };
 }
 
@@ -30,7 +31,8 @@
   { types, now }: Pick<PlacementInput, "types" | "now">,
 ): MachineType | null {
   const type = types.get(machine.record.type);
-  return type === undefined || !machine.isSchedulable || machine.notBefore > now ? null : type;
+  if (type === undefined || !machine.isSchedulable || machine.notBefore > now) return null;
+  return machine.freeTaskSlots > 0 ? type : null;
 }
 
 /**
--- a/src/placement/machine-forecast.ts
+++ b/src/placement/machine-forecast.ts
@@ -1,15 +1,17 @@
 /** Forecasts when capacity becomes free on machines as their tasks end. Pure. */
 import type { Job } from "../workers/job.js";
 import type { Machine } from "../workers/machine.js";
-import { ROUNDING_TOLERANCE, fits, slotsPerMachine } from "./capacity.js";
-import { addResources, type Resources } from "../workers/resources.js";
+import { ROUNDING_TOLERANCE, fitsOneMore, slotsIn } from "./capacity.js";
+import { freeCapacityOf } from "./machine-capacity.js";
+import { addResources, type RemainingCapacity, type Resources } from "../workers/resources.js";
 import { expectedRemainingMs } from "./runtime-estimates.js";
 import type { PlacementInput } from "./scheduling-context.js";
 
 const RESOURCE_KINDS = ["cpus", "gpus", "memoryGb"] as const;
+const CAPACITY_KINDS = [...RESOURCE_KINDS, "taskSlots"] as const;
 
 /** Capacity of a machine that becomes free at one point in time. */
-export interface FutureCapacity extends Resources {
+export interface FutureCapacity extends RemainingCapacity {
   /** When it becomes free, in milliseconds from now. */
   availableInMs: number;
 }
@@ -36,42 +38,48 @@
 ): MachineForecast[] {
   const type = input.types.get(machine.record.type);
   if (type === undefined) return [];
-  const used = machine.usedResources();
-  const timeline: FutureCapacity[] = [
-    {
-      availableInMs: 0,
-      cpus: type.cpus - used.cpus,
-      gpus: type.gpus - used.gpus,
-      memoryGb: type.memoryGb - used.memoryGb,
-    },
-  ];
+  const { cpus, gpus, memoryGb, taskSlots } = freeCapacityOf(machine, type);
+  const timeline: FutureCapacity[] = [{ availableInMs: 0, cpus, gpus, memoryGb, taskSlots }];
   for (const placement of machine.placements) {
-    const { cpus, gpus, memoryGb } = placement.job.spec;
+    const need = placement.job.spec;
     const availableInMs = expectedRemainingMs(placement, type, input);
-    timeline.push({ availableInMs, cpus, gpus, memoryGb });
+    timeline.push({
+      availableInMs,
+      cpus: need.cpus,
+      gpus: need.gpus,
+      memoryGb: need.memoryGb,
+      taskSlots: 1,
+    });
   }
   return [{ machine, timeline: timeline.sort((a, b) => a.availableInMs - b.availableInMs) }];
 }
 
+const NO_CAPACITY: Readonly<RemainingCapacity> = { cpus: 0, gpus: 0, memoryGb: 0, taskSlots: 0 };
+
+function addCapacity(sum: RemainingCapacity, released: FutureCapacity): void {
+  addResources(sum, released);
+  sum.taskSlots += released.taskSlots;
+}
+
 /** The time in milliseconds until one task of the job fits; null if that is longer than `longestWaitMs`. */
 export function earliestFitMs(timeline: FutureCapacity[], job: Job, longestWaitMs: number): number | null {
-  const free = { cpus: 0, gpus: 0, memoryGb: 0 };
+  const free = { ...NO_CAPACITY };
   for (const entry of timeline) {
     if (entry.availableInMs > longestWaitMs) return null;
-    addResources(free, entry);
-    if (fits(free, job.spec)) return entry.availableInMs;
+    addCapacity(free, entry);
+    if (fitsOneMore(free, job.spec)) return entry.availableInMs;
   }
   return null;
 }
 
 /** How many tasks of the job fit at `startsInMs`; at least 1, as the caller has found that one fits. */
 export function slotsAvailableAt(timeline: FutureCapacity[], job: Job, startsInMs: number): number {
-  const free = { cpus: 0, gpus: 0, memoryGb: 0 };
+  const free = { ...NO_CAPACITY };
   for (const entry of timeline) {
     if (entry.availableInMs > startsInMs) break;
-    addResources(free, entry);
+    addCapacity(free, entry);
   }
-  return Math.max(1, slotsPerMachine(job.spec, free));
+  return Math.max(1, slotsIn(free, job.spec));
 }
 
 /** A run of equal tasks on a machine, with its start and end in milliseconds from now. */
@@ -89,7 +97,12 @@
  */
 export function reserveCapacity(timeline: FutureCapacity[], run: FutureRun): FutureCapacity[] {
   const { need, tasks, startsInMs, endsInMs } = run;
-  const outstanding = { cpus: need.cpus * tasks, gpus: need.gpus * tasks, memoryGb: need.memoryGb * tasks };
+  const outstanding: RemainingCapacity = {
+    cpus: need.cpus * tasks,
+    gpus: need.gpus * tasks,
+    memoryGb: need.memoryGb * tasks,
+    taskSlots: tasks,
+  };
   const released: FutureCapacity = { availableInMs: endsInMs, ...outstanding };
   const remaining: FutureCapacity[] = [];
   for (const entry of timeline) {
@@ -97,12 +110,14 @@
       remaining.push(entry);
       continue;
     }
-    for (const kind of RESOURCE_KINDS) {
+    for (const kind of CAPACITY_KINDS) {
       const amount = Math.min(outstanding[kind], entry[kind]);
       entry[kind] -= amount;
       outstanding[kind] -= amount;
     }
     if (RESOURCE_KINDS.some((kind) => entry[kind] > ROUNDING_TOLERANCE)) remaining.push(entry);
+    // An entry of slots alone would only make the timeline longer: no task fits there before the run ends.
+    else released.taskSlots += entry.taskSlots;
   }
   const position = remaining.findIndex((entry) => entry.availableInMs > endsInMs);
   remaining.splice(position < 0 ? remaining.length : position, 0, released);
--- a/src/placement/preemptable-capacity.ts
+++ b/src/placement/preemptable-capacity.ts
@@ -2,7 +2,7 @@
 import type { MachineType } from "../wire/index.js";
 import type { Machine } from "../workers/machine.js";
 import type { Placement } from "../workers/placement.js";
-import { subtractResources, type Resources } from "../workers/resources.js";
+import { takeTask, type RemainingCapacity } from "../workers/resources.js";
 import { priorityRank } from "./priority-rank.js";
 import { subtractUsage, type QuotaUsage } from "./quota.js";
 import { expectedRemainingMs, expectedRuntimeMs } from "./runtime-estimates.js";
@@ -18,7 +18,7 @@
 }
 
 /** A machine and its capacity by the time at which a task preempted now would have released its resources. */
-export interface PreemptableCapacity extends Resources {
+export interface PreemptableCapacity extends RemainingCapacity {
   machine: Machine;
   /** The tasks that may be preempted, lowest priority first; within a priority the most recent state change first. */
   candidateVictims: Placement[];
@@ -45,14 +45,15 @@
   usageByTeam: Map<string, QuotaUsage>,
 ): PreemptableCapacity {
   const { cpus, gpus, memoryGb } = type;
-  const capacity: PreemptableCapacity = { machine, cpus, gpus, memoryGb, candidateVictims: [] };
+  const taskSlots = machine.freeTaskSlots + machine.placements.size;
+  const capacity: PreemptableCapacity = { machine, cpus, gpus, memoryGb, taskSlots, candidateVictims: [] };
   for (const placement of machine.placements) {
     const { job } = placement;
     if (placement.stop !== null || job.isTerminating || endsSoon(placement, type, input)) {
       subtractUsage(usageByTeam.get(job.spec.team)!, job.spec);
       continue;
     }
-    subtractResources(capacity, job.spec);
+    takeTask(capacity, job.spec);
     if (isCheapToStop(placement, input)) capacity.candidateVictims.push(placement);
   }
   capacity.candidateVictims.sort(
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -7,7 +7,7 @@
 import type { Job } from "../workers/job.js";
 import type { Machine } from "../workers/machine.js";
 import type { Placement } from "../workers/placement.js";
-import { addResources, subtractResources } from "../workers/resources.js";
+import { returnTask, takeTask } from "../workers/resources.js";
 import { countTasksByZone, countZone, isEligible, isStartable } from "./eligibility.js";
 import { orderByPriority } from "./job-queue.js";
 import {
@@ -111,13 +111,13 @@
   { quota, chosen }: PreemptionState,
 ): void {
   for (const victim of victims) {
-    addResources(capacity, victim.job.spec);
+    returnTask(capacity, victim.job.spec);
     subtractUsage(quota.byTeam.get(victim.job.spec.team)!, victim.job.spec);
     capacity.candidateVictims.splice(capacity.candidateVictims.indexOf(victim), 1);
     chosen.victims.push(victim);
   }
   if (victims.length > 0) chosen.reservations.set(capacity.machine, job);
-  subtractResources(capacity, job.spec);
+  takeTask(capacity, job.spec);
   addUsage(usage, job.spec);
   countZone(tasksByZone, capacity.machine);
 }
--- a/src/placement/victim-search.ts
+++ b/src/placement/victim-search.ts
@@ -2,8 +2,8 @@
 import type { Team } from "../config/settings.js";
 import type { Job } from "../workers/job.js";
 import type { Placement } from "../workers/placement.js";
-import { fits } from "./capacity.js";
-import { addResources, type Resources } from "../workers/resources.js";
+import { fitsOneMore } from "./capacity.js";
+import { returnTask, type RemainingCapacity } from "../workers/resources.js";
 import { allowsZone } from "./eligibility.js";
 import type { PreemptableCapacity } from "./preemptable-capacity.js";
 import { priorityRank, URGENT_RANK } from "./priority-rank.js";
@@ -48,7 +48,7 @@
     // most machines.
     const [lowest] = capacity.candidateVictims;
     const hasLowerVictim = lowest !== undefined && priorityRank(lowest.job) < priorityRank(job);
-    if (!hasLowerVictim && (isQuotaExhausted || !fits(capacity, job.spec))) continue;
+    if (!hasLowerVictim && (isQuotaExhausted || !fitsOneMore(capacity, job.spec))) continue;
     if (!allowsZone(job, capacity.machine.record.zone, tasksByZone)) continue;
     const victims = victimsOnMachine(capacity, search, isQuotaExhausted);
     if (victims === null) continue;
@@ -67,10 +67,11 @@
 ): Placement[] | null {
   const { job, team, unreconciled } = search;
   const victims: Placement[] = [];
-  const free: Resources = { cpus: capacity.cpus, gpus: capacity.gpus, memoryGb: capacity.memoryGb };
+  const { cpus, gpus, memoryGb, taskSlots } = capacity;
+  const free: RemainingCapacity = { cpus, gpus, memoryGb, taskSlots };
   const usageAfter = { ...search.usage };
   const isWithinQuotaAfter = (): boolean => isWithinQuota(team, usageAfter, unreconciled, job.spec);
-  const isEnough = (): boolean => fits(free, job.spec) && isWithinQuotaAfter();
+  const isEnough = (): boolean => fitsOneMore(free, job.spec) && isWithinQuotaAfter();
   for (const victim of capacity.candidateVictims) {
     if (isEnough() || priorityRank(victim.job) >= priorityRank(job)) break;
     if (!mayPreempt(victim, search)) continue;
@@ -78,7 +79,7 @@
     // Preempting another team's task releases machine capacity, but none of this team's quota.
     if (isQuotaExhausted && !isOfSameTeam && !isWithinQuotaAfter()) continue;
     victims.push(victim);
-    addResources(free, victim.job.spec);
+    returnTask(free, victim.job.spec);
     if (isOfSameTeam) subtractUsage(usageAfter, victim.job.spec);
   }
   return isEnough() ? victims : null;
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,6 +1,7 @@
 /** Worker heartbeats and the commands in their responses: section "Workers -> controller nodes" of the protocol. */
 import * as z from "zod";
 import { parseWith, type Parsed } from "./parsing.js";
+import { MAX_BODY_BYTES } from "./users.js";
 
 /** A task's state as reported by its worker. */
 export type TaskState = "fetching" | "running" | "saving" | "exited";
@@ -54,6 +55,15 @@
 export const HEARTBEAT_TIMEOUT_S = 4;
 /** The maximum relative drift between the steady clocks of two machines; section "The protocols of fernpond". */
 export const CLOCK_DRIFT = 0.0005;
+/** The most bytes of a task in a heartbeat, or of a command in a response; up to 127 without white space. */
+const MAX_TASK_BYTES = 168;
+/** The most bytes of a heartbeat without its tasks. */
+const MAX_HEARTBEAT_HEAD_BYTES = 1024;
+/**
+ * The most tasks on one machine: its heartbeat, which lists all of them, must not exceed `MAX_BODY_BYTES`. A response
+ * with one command for each of them stays within the same limit.
+ */
+export const MAX_TASKS_PER_MACHINE = Math.floor((MAX_BODY_BYTES - MAX_HEARTBEAT_HEAD_BYTES) / MAX_TASK_BYTES);
 /** The most tasks accepted in one heartbeat; this limit is not part of the protocol. */
 const MAX_HEARTBEAT_TASKS = 10_000;
 
--- a/src/workers/heartbeat-reconciliation.ts
+++ b/src/workers/heartbeat-reconciliation.ts
@@ -42,7 +42,7 @@
   machine.lastHeartbeatAt = now;
   machine.leaseExpiredAt = null;
   machine.interruptionNoticeS = heartbeat.interruptionNoticeS;
-  machine.reportedTasks = heartbeat.tasks;
+  machine.recordReportedTasks(heartbeat.tasks);
   machine.orphanTasks = new Set();
   machine.followsTerm = true;
 
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -1,5 +1,5 @@
 /** The state of a machine in memory at its shard's owner: heartbeats, placements and health. */
-import type { TaskStatus } from "../wire/index.js";
+import { MAX_TASKS_PER_MACHINE, type TaskStatus } from "../wire/index.js";
 import type { MachineRecord } from "./machine-records.js";
 import type { Placement } from "./placement.js";
 import { addResources, subtractResources, type Resources } from "./resources.js";
@@ -12,8 +12,9 @@
   readonly placements = new Set<Placement>();
   /** Reported tasks that match no known attempt and are being stopped, as "job/index". */
   orphanTasks = new Set<string>();
-  /** The tasks in the last reconciled heartbeat; used to check that a drained machine is empty. */
-  reportedTasks: TaskStatus[] = [];
+  private reportedTasks: readonly TaskStatus[] = [];
+  /** The number of exited tasks that the worker keeps in its heartbeats until it is told to forget them. */
+  private exitedTaskCount = 0;
   /** Images that the machine is known to have pulled, because a task that uses them has run there. */
   readonly images = new Set<string>();
   /** Since when, and for how many consecutive heartbeats, the machine has been empty; also reset by the shard. */
@@ -105,6 +106,17 @@
     );
   }
 
+  /** How many more tasks may be placed on the machine, so that its heartbeats can list all of them. */
+  get freeTaskSlots(): number {
+    return MAX_TASKS_PER_MACHINE - this.placements.size - this.orphanTasks.size - this.exitedTaskCount;
+  }
+
+  /** Records the tasks in the last reconciled heartbeat; none once they are proven to have ended. */
+  recordReportedTasks(tasks: readonly TaskStatus[]): void {
+    this.reportedTasks = tasks;
+    this.exitedTaskCount = tasks.filter(({ state }) => state === "exited").length;
+  }
+
   /** Whether the machine has no task according to both the placements and the last heartbeat. */
   get isEmpty(): boolean {
     return this.placements.size === 0 && this.orphanTasks.size === 0 && this.reportedTasks.length === 0;
--- a/src/workers/placement.ts
+++ b/src/workers/placement.ts
@@ -60,5 +60,5 @@
 export function releaseAll(machine: Machine): void {
   for (const placement of [...machine.placements]) release(placement);
   machine.orphanTasks = new Set();
-  machine.reportedTasks = [];
+  machine.recordReportedTasks([]);
 }
--- a/src/workers/worker-commands.ts
+++ b/src/workers/worker-commands.ts
@@ -1,9 +1,9 @@
 /** The commands in the response to a heartbeat. */
-import type { WorkerCommand } from "../wire/index.js";
+import { MAX_TASKS_PER_MACHINE, type WorkerCommand } from "../wire/index.js";
 import type { Placement } from "./placement.js";
 
-/** The most commands in one response; keeps it far below the longest line that a worker accepts. */
-const MAX_COMMANDS = 300;
+/** The most commands in one response: one for each task of the machine. */
+const MAX_COMMANDS = MAX_TASKS_PER_MACHINE;
 
 /** Truncates commands to what one response may hold, with stops first; returns the same array if they all fit. */
 export function limitCommands(commands: WorkerCommand[]): WorkerCommand[] {
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -1,10 +1,25 @@
 /** Guards against decisions whose cost grows faster than the number of tasks of one job. Costs are counted, not timed. */
 import assert from "node:assert/strict";
 import { describe, mock, test } from "node:test";
+import { slotsPerMachine } from "../src/placement/capacity.js";
 import { buildQueue } from "../src/placement/job-queue.js";
+import { largestFreeCapacity } from "../src/placement/migration-policy.js";
 import { placeOnMachine, placeRound } from "../src/placement/placement-round.js";
+import { choosePreemptions } from "../src/placement/preemption.js";
+import { computeDemand } from "../src/placement/shard-summary.js";
+import {
+  commandsToWire,
+  MAX_BODY_BYTES,
+  MAX_TASKS,
+  MAX_TASKS_PER_MACHINE,
+  parseHeartbeat,
+  type TaskStatus,
+  type WorkerCommand,
+} from "../src/wire/index.js";
 import type { Job } from "../src/workers/job.js";
 import type { Machine } from "../src/workers/machine.js";
+import { limitCommands } from "../src/workers/worker-commands.js";
+import { smallType } from "./support/records.js";
 import { newJob, newMachine, NOW, placementInput, startTask } from "./support/shard-state.js";
 
 /** The needs of a task of which thousands fit on one machine. */
@@ -22,6 +37,77 @@
   return () => now++;
 }
 
+/** A number of tasks of one job on a machine, as its worker reports them. */
+const reportedTasks = (job: string, count: number, fields: Partial<TaskStatus>): TaskStatus[] =>
+  Array.from({ length: count }, (_, index) => ({ ...RUNNING, job, index, attempt: index + 1, ...fields }));
+
+const RUNNING: Omit<TaskStatus, "job" | "index" | "attempt"> = {
+  state: "running",
+  cause: null,
+  saved: false,
+};
+
+// Guards against a machine with so many tasks that its heartbeats are too long to be accepted, so that its lease ends.
+void describe("tasks on one machine", () => {
+  test("the longest heartbeat of a machine with the most tasks, and its longest response, keep the size limit", () => {
+    const longest = "9".repeat(32);
+    const attempt = Number.MAX_SAFE_INTEGER;
+    const pieces = Array.from({ length: MAX_TASKS_PER_MACHINE }, () => ({
+      piece: `req-${longest}/${MAX_TASKS - 1}`,
+      try: attempt,
+      stage: "exited",
+      cause: "no_room",
+      kept: true,
+    }));
+    const name = "x".repeat(100);
+    const counts = { tenure: attempt, tick: attempt, baton: attempt, recallS: Number.MIN_VALUE };
+    const pool = { breed: name + name, bank: name + name, loaners: false };
+    const heartbeat = { host: name, addr: name, ...pool, ...counts, pieces };
+    assert.ok(parseHeartbeat(heartbeat).ok);
+    assert.ok(Buffer.byteLength(JSON.stringify(heartbeat)) <= MAX_BODY_BYTES);
+    // Some languages write a space after each colon and comma.
+    assert.ok(Buffer.byteLength(JSON.stringify(heartbeat, null, 1).replace(/\n */g, " ")) <= MAX_BODY_BYTES);
+    const stop = { job: `req-${longest}`, index: MAX_TASKS - 1, attempt, graceS: Number.MAX_VALUE };
+    const commands = pieces.map((): WorkerCommand => ({ op: "stop", ...stop }));
+    assert.equal(limitCommands(commands).length, commands.length);
+    const response = JSON.stringify(commandsToWire(attempt, commands));
+    assert.ok(Buffer.byteLength(response) <= MAX_BODY_BYTES);
+  });
+
+  test("a round places no more tasks on a machine than its heartbeats can list, exited ones included", () => {
+    const job = newJob("req-1", { tasks: 2000, ...TINY });
+    const machine = newMachine("i-1");
+    const input = placementInput([job], [machine]);
+    const startsOnMachine = (): number[] => [
+      placeRound(input, buildQueue(input), () => 0, 1).starts.length,
+      placeOnMachine(machine, buildQueue(input), input, () => false).starts.length,
+    ];
+    assert.deepEqual(startsOnMachine(), [MAX_TASKS_PER_MACHINE, MAX_TASKS_PER_MACHINE]);
+    machine.recordReportedTasks(reportedTasks("req-9", 84, { state: "exited", cause: "done" }));
+    assert.deepEqual(startsOnMachine(), [MAX_TASKS_PER_MACHINE - 84, MAX_TASKS_PER_MACHINE - 84]);
+    for (let index = 0; index < MAX_TASKS_PER_MACHINE - 84; index++) startTask(machine, job, index);
+    assert.deepEqual(startsOnMachine(), [0, 0]);
+    assert.deepEqual(largestFreeCapacity(input), []);
+  });
+
+  test("tasks beyond those count as demand for more machines", () => {
+    const tasks = 10 * MAX_TASKS_PER_MACHINE;
+    const job = newJob("req-1", { tasks, ...TINY });
+    const [demand] = computeDemand(placementInput([job], newMachines(2)));
+    assert.equal(demand?.count, 8 * MAX_TASKS_PER_MACHINE);
+    assert.equal(slotsPerMachine(demand, smallType), MAX_TASKS_PER_MACHINE);
+  });
+
+  test("preemption makes room for one task more on a machine that may have no more tasks", () => {
+    const low = newJob("req-1", { tasks: 2000, priority: "best_effort", checkpointS: 9, ...TINY });
+    const machine = newMachine("i-1");
+    for (let index = 0; index < MAX_TASKS_PER_MACHINE; index++) startTask(machine, low, index, NOW - 1000);
+    const urgent = newJob("req-2", { priority: "urgent" });
+    const { victims } = choosePreemptions(placementInput([low, urgent], [machine]));
+    assert.equal(victims.length, 1);
+  });
+});
+
 void describe("placement/placement-round", () => {
   // Guards against a round that places one large job as a whole, whatever its time budget: nothing else runs meanwhile.
   test("a round that reaches its deadline within a job stops there, and the next one goes on with the job", () => {
