Forecast the tasks of a zone-constrained job in batches as well

Change: a batch is as large as the machine's slots and the zone allow, as for any other job. The new test fails without the change: 50,100 reads where fewer than 25,000 are allowed.

--- a/src/placement/capacity-forecast.ts
+++ b/src/placement/capacity-forecast.ts
@@ -4,7 +4,13 @@
  */
 import type { MachineType } from "../wire/index.js";
 import type { Job } from "../workers/job.js";
-import { allowsZone, countTasksByZone, countZone, isEligible, maxTasksPerZone } from "./eligibility.js";
+import {
+  countTasksByZone,
+  countZone,
+  isEligible,
+  maxTasksPerZone,
+  tasksAllowedInZone,
+} from "./eligibility.js";
 import { orderByPriority } from "./job-queue.js";
 import {
   earliestFitMs,
@@ -81,11 +87,11 @@
   // Assigning tasks changes the timeline of one machine only: only that machine is inserted again.
   for (let best = fitsLatestFirst.pop(); count > 0 && best !== undefined; best = fitsLatestFirst.pop()) {
     const { forecast, startsInMs } = best;
-    if (tasksByZone !== null && !allowsZone(job, forecast.machine.record.zone, tasksByZone)) continue;
-    if (tasksByZone !== null) countZone(tasksByZone, forecast.machine);
+    const allowed = Math.min(count, tasksAllowedInZone(job, forecast.machine.record.zone, tasksByZone));
+    if (allowed <= 0) continue;
     // Assigns all tasks that fit there at that time in one step: large arrays must not cost a search per task.
-    const tasks =
-      tasksByZone === null ? Math.min(count, slotsAvailableAt(forecast.timeline, job, startsInMs)) : 1;
+    const tasks = Math.min(allowed, slotsAvailableAt(forecast.timeline, job, startsInMs));
+    if (tasksByZone !== null) countZone(tasksByZone, forecast.machine, tasks);
     const run = { need: job.spec, tasks, startsInMs, endsInMs: startsInMs + runtimeMs };
     forecast.timeline = reserveCapacity(forecast.timeline, run);
     insertEarliestFit(fitsLatestFirst, forecast, job, waitMs);
--- a/src/placement/eligibility.ts
+++ b/src/placement/eligibility.ts
@@ -45,15 +45,24 @@
   return tasksByZone;
 }
 
-/** Counts one more task in a machine's zone. */
-export function countZone(tasksByZone: Map<string, number>, { record }: Machine): void {
-  tasksByZone.set(record.zone, (tasksByZone.get(record.zone) ?? 0) + 1);
+/** Counts more tasks in a machine's zone. */
+export function countZone(tasksByZone: Map<string, number>, { record }: Machine, tasks = 1): void {
+  tasksByZone.set(record.zone, (tasksByZone.get(record.zone) ?? 0) + tasks);
 }
 
 /** Whether one more task of a job may run in a zone, given the zones of its other tasks. */
 export function allowsZone(job: Job, zone: string, tasksByZone: Map<string, number>): boolean {
-  if (job.spec.oneZone) for (const other of tasksByZone.keys()) if (other !== zone) return false;
-  return !job.spec.spread || (tasksByZone.get(zone) ?? 0) < maxTasksPerZone(job);
+  return tasksAllowedInZone(job, zone, tasksByZone) > 0;
+}
+
+/**
+ * How many more tasks of a job may run in a zone, given the zones of its other tasks; Infinity without a limit. These
+ * may be null for a job that is not constrained to zones.
+ */
+export function tasksAllowedInZone(job: Job, zone: string, tasksByZone: Map<string, number> | null): number {
+  if (tasksByZone === null) return Infinity;
+  if (job.spec.oneZone) for (const other of tasksByZone.keys()) if (other !== zone) return 0;
+  return job.spec.spread ? maxTasksPerZone(job) - (tasksByZone.get(zone) ?? 0) : Infinity;
 }
 
 /** The maximum number of tasks per zone for a job with the `spread` constraint: half of them, rounded up. */
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -43,6 +43,19 @@
     assert.ok((unmet[0]?.count ?? 0) < tasks / 2, "most tasks find capacity in time");
     assert.ok(reads() < tasks, `${reads()} reads`);
   });
+
+  // Guards against a step for each task of a zone-constrained job: the owner answered nobody for seconds.
+  test("the forecast considers the tasks of a zone-constrained job in batches as well", () => {
+    const tasks = 25_000;
+    for (const constraint of [{ oneZone: true }, { spread: true }]) {
+      const { job, reads } = countedJob({ tasks, cpus: 0.25, estimateS: 0, ...constraint });
+      const input = placementInput([job], newMachines());
+      const unmet = forecastUnmetDemand({ ...input, waiting: new Map([[job, tasks]]) });
+      const unmetTasks = unmet.reduce((sum, { count }) => sum + count, 0);
+      assert.equal(unmetTasks, job.spec.spread ? tasks / 2 : 0);
+      assert.ok(reads() < tasks, `${reads()} reads`);
+    }
+  });
 });
 
 void describe("placement/preemption", () => {
