--- a/src/workers/lease-renewal.ts
+++ b/src/workers/lease-renewal.ts
@@ -82,9 +82,8 @@
     commands: readonly WorkerCommand[],
     isLive: (job: string) => boolean,
   ): LeaseRenewal | RejectedRenewal {
-    for (const task of heartbeat.tasks)
-      if (task.state !== "exited" && !isLive(task.job) && !stopsAtOnce(commands, task))
-        return { reason: "ended_task_kept", task: `${task.job}/${task.index}` };
+    const keptTask = findKeptTask(heartbeat, commands, isLive);
+    if (keptTask !== null) return { reason: "ended_task_kept", task: `${keptTask.job}/${keptTask.index}` };
     for (const command of commands)
       if (command.op === "start" && !isLive(command.job))
         return { reason: "ended_task_started", task: `${command.job}/${command.index}` };
@@ -92,14 +91,26 @@
   }
 }
 
-/** Whether the commands stop a task at once: during a grace period it would keep running. */
-function stopsAtOnce(commands: readonly WorkerCommand[], { job, index, attempt }: TaskStatus): boolean {
-  return commands.some(
-    (command) =>
-      command.op === "stop" &&
-      command.job === job &&
-      command.index === index &&
-      command.attempt === attempt &&
-      command.graceS === 0,
-  );
+/** A task of an ended job that the commands do not stop at once; null if there is none. */
+function findKeptTask(
+  heartbeat: Heartbeat,
+  commands: readonly WorkerCommand[],
+  isLive: (job: string) => boolean,
+): TaskStatus | null {
+  const endedTasks = heartbeat.tasks.filter((task) => task.state !== "exited" && !isLive(task.job));
+  if (endedTasks.length === 0) return null;
+  const stoppedAttempts = attemptsStoppedAtOnce(commands);
+  return endedTasks.find((task) => !stoppedAttempts.has(attemptKey(task))) ?? null;
+}
+
+/** The attempts that the commands stop at once: during a grace period they would keep running. */
+function attemptsStoppedAtOnce(commands: readonly WorkerCommand[]): Set<string> {
+  const stopped = new Set<string>();
+  for (const command of commands)
+    if (command.op === "stop" && command.graceS === 0) stopped.add(attemptKey(command));
+  return stopped;
+}
+
+function attemptKey({ job, index, attempt }: Pick<TaskStatus, "job" | "index" | "attempt">): string {
+  return `${job}/${index}#${attempt}`;
 }
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -13,10 +13,12 @@
   MAX_TASKS,
   MAX_TASKS_PER_MACHINE,
   parseHeartbeat,
+  type Heartbeat,
   type TaskStatus,
   type WorkerCommand,
 } from "../src/wire/index.js";
 import type { Job } from "../src/workers/job.js";
+import { LeaseRenewal } from "../src/workers/lease-renewal.js";
 import type { Machine } from "../src/workers/machine.js";
 import { limitCommands } from "../src/workers/worker-commands.js";
 import { smallType } from "./support/records.js";
@@ -47,6 +49,12 @@
   saved: false,
 };
 
+const heartbeatOf = (tasks: TaskStatus[]): Heartbeat => ({
+  ...{ host: "i-1", address: "a:1", type: "small", zone: "north", spot: false },
+  ...{ epoch: 1, sequence: 1, highestToken: 1, interruptionNoticeS: null },
+  tasks,
+});
+
 // Guards against a machine with so many tasks that its heartbeats are too long to be accepted, so that its lease ends.
 void describe("tasks on one machine", () => {
   test("the longest heartbeat of a machine with the most tasks, and its longest response, keep the size limit", () => {
@@ -108,6 +116,27 @@
   });
 });
 
+void describe("workers/lease-renewal", () => {
+  // Guards against a search through all commands for each task of a cancelled job, at each heartbeat.
+  test("the check of a response reads each command once, however many tasks are to be stopped", () => {
+    let reads = 0;
+    const tasks = reportedTasks("req-1", MAX_TASKS_PER_MACHINE, {});
+    const commands = tasks.map(({ job, index, attempt }): WorkerCommand => ({
+      get op(): "stop" {
+        reads++;
+        return "stop";
+      },
+      ...{ job, index, attempt, graceS: 0 },
+    }));
+    const renewal = LeaseRenewal.decide(1, heartbeatOf(tasks), commands, () => false);
+    assert.ok(renewal instanceof LeaseRenewal);
+    assert.ok(reads <= 3 * commands.length, `${reads} reads`);
+    const [first, ...others] = commands;
+    const rejected = LeaseRenewal.decide(1, heartbeatOf(tasks), others, () => false);
+    assert.deepEqual(rejected, { reason: "ended_task_kept", task: `req-1/${first?.index}` });
+  });
+});
+
 void describe("placement/placement-round", () => {
   // Guards against a round that places one large job as a whole, whatever its time budget: nothing else runs meanwhile.
   test("a round that reaches its deadline within a job stops there, and the next one goes on with the job", () => {
