Compute how many tasks of a job fit its team's quota in one step

Change: tasksWithinLimit, which job migration had, moves beside the quota's other computations and serves both.

--- a/src/placement/migration-policy.ts
+++ b/src/placement/migration-policy.ts
@@ -1,5 +1,4 @@
 /** Chooses jobs that may migrate to another shard, and reports the free capacity for jobs of other shards. Pure. */
-import type { Team } from "../config/settings.js";
 import type { FreeCapacity, MigrationCandidate } from "../peers/peer-messages.js";
 import type { QuotaReservation } from "../jobs/job-records.js";
 import { MAX_WAIT_WITH_FREE_CAPACITY_S } from "../wire/index.js";
@@ -7,7 +6,7 @@
 import { ROUNDING_TOLERANCE } from "./capacity.js";
 import { isStartable } from "./eligibility.js";
 import { freeCapacityOf, usableTypeOf } from "./machine-capacity.js";
-import { quotaSnapshot, teamOf, type QuotaUsage } from "./quota.js";
+import { quotaSnapshot, tasksWithinLimit, teamOf, type QuotaUsage } from "./quota.js";
 import type { PlacementInput } from "./scheduling-context.js";
 
 /** A job may migrate once it has waited for this fraction of `MAX_WAIT_WITH_FREE_CAPACITY_S`. */
@@ -84,21 +83,6 @@
   return { maxParallelTasks, reservation: { team: spec.team, cpus, gpus }, migratedIn };
 }
 
-/** How many more tasks that need `need` fit within the team's limits; Infinity without a limit. */
-function tasksWithinLimit(team: Team, usage: QuotaUsage, unreconciled: QuotaUsage, need: QuotaUsage): number {
-  return Math.min(
-    tasksWithin(team.cpusMax, usage.cpus + unreconciled.cpus, need.cpus),
-    tasksWithin(team.gpusMax, usage.gpus + unreconciled.gpus, need.gpus),
-  );
-}
-
-/** A limit of 0 means no limit. */
-function tasksWithin(limit: number, usage: number, needPerTask: number): number {
-  return limit > 0 && needPerTask > 0
-    ? Math.floor((limit - usage) / needPerTask + ROUNDING_TOLERANCE)
-    : Infinity;
-}
-
 /**
  * For each instance pool (type, zone, spot), the free capacity of the machine with the most free CPUs, except for
  * reserved machines. To be called right after a round, when no job of this shard can use the capacity.
--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -90,10 +90,32 @@
   return limit > 0 && usage > limit + ROUNDING_TOLERANCE;
 }
 
-/** Adds the resources of a task to `usage` in place. */
-export function addUsage(usage: QuotaUsage, { cpus, gpus }: Readonly<QuotaUsage>): void {
-  usage.cpus += cpus;
-  usage.gpus += gpus;
+/**
+ * How many more tasks that need `need` fit within the team's limits. Infinity without a limit, and negative if the
+ * usage exceeds one.
+ */
+export function tasksWithinLimit(
+  team: Team,
+  usage: QuotaUsage,
+  unreconciled: QuotaUsage,
+  need: QuotaUsage,
+): number {
+  return Math.min(
+    tasksWithin(team.cpusMax, usage.cpus + unreconciled.cpus, need.cpus),
+    tasksWithin(team.gpusMax, usage.gpus + unreconciled.gpus, need.gpus),
+  );
+}
+
+function tasksWithin(limit: number, usage: number, needPerTask: number): number {
+  return limit > 0 && needPerTask > 0
+    ? Math.floor((limit - usage) / needPerTask + ROUNDING_TOLERANCE)
+    : Infinity;
+}
+
+/** Adds the resources of tasks to `usage` in place. */
+export function addUsage(usage: QuotaUsage, { cpus, gpus }: Readonly<QuotaUsage>, tasks = 1): void {
+  usage.cpus += cpus * tasks;
+  usage.gpus += gpus * tasks;
 }
 
 /** Subtracts the resources of a task from `usage` in place. */
--- a/src/placement/shard-summary.ts
+++ b/src/placement/shard-summary.ts
@@ -7,7 +7,14 @@
 import { slotsPerMachine } from "./capacity.js";
 import { isEligible, isStartable } from "./eligibility.js";
 import { orderByPriority } from "./job-queue.js";
-import { addUsage, isWithinQuota, quotaSnapshot, teamOf, type QuotaSnapshot } from "./quota.js";
+import {
+  addUsage,
+  isWithinQuota,
+  quotaSnapshot,
+  tasksWithinLimit,
+  teamOf,
+  type QuotaSnapshot,
+} from "./quota.js";
 import type { PlacementInput } from "./scheduling-context.js";
 
 /** The load of the shard: machines up and empty, and the CPUs present, used and waited for. */
@@ -52,11 +59,12 @@
 function claimQuota(job: Job, quota: QuotaSnapshot, input: PlacementInput): number {
   const team = teamOf(job, input.teams);
   const usage = quota.byTeam.get(job.spec.team)!;
+  if (team === undefined || !isWithinQuota(team, usage, quota.unreconciled, job.spec)) return 0;
   const maxTasks = job.isSuspectedFaulty ? trialTasks(job, input) : job.startableTasks;
-  let count = 0;
-  for (; count < maxTasks && isWithinQuota(team, usage, quota.unreconciled, job.spec); count++)
-    addUsage(usage, job.spec);
-  return count;
+  const tasksInQuota = tasksWithinLimit(team, usage, quota.unreconciled, job.spec);
+  const tasks = Math.max(0, Math.min(maxTasks, tasksInQuota));
+  addUsage(usage, job.spec, tasks);
+  return tasks;
 }
 
 /**
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -3,6 +3,7 @@
 import { describe, mock, test } from "node:test";
 import { forecastUnmetDemand } from "../src/placement/capacity-forecast.js";
 import { choosePreemptions } from "../src/placement/preemption.js";
+import { computeDemand } from "../src/placement/shard-summary.js";
 import type { SteadyClock } from "../src/runtime/clock.js";
 import { RenewalGuard } from "../src/shards/renewal-guard.js";
 import { DecisionMetrics } from "../src/shards/decision-metrics.js";
@@ -14,20 +15,25 @@
 import { Fleet } from "../src/workers/fleet.js";
 import { parseHeartbeat, type JobSpec } from "../src/wire/index.js";
 import { FakeView, jobSpec, silentLogger } from "./support/records.js";
+import { testSettings } from "./support/settings.js";
 import { newJob, newMachine, NOW, placementInput, startTask } from "./support/shard-state.js";
 
 const MACHINES = 100;
 
 const newMachines = (): Machine[] => Array.from({ length: MACHINES }, (_, i) => newMachine(`i-${i}`));
 
-/** A job that counts how often the memory requirement of its tasks is read. */
-function countedJob(over: Partial<JobSpec>): { job: Job; reads: () => number } {
+/** A job that counts how often a requirement of its tasks is read. */
+function countedJob(
+  over: Partial<JobSpec>,
+  counted: "cpus" | "memoryGb" = "memoryGb",
+): { job: Job; reads: () => number } {
   let reads = 0;
   const spec = jobSpec("req-1", over);
-  Object.defineProperty(spec, "memoryGb", {
+  const value = spec[counted];
+  Object.defineProperty(spec, counted, {
     get: () => {
       reads++;
-      return 1;
+      return value;
     },
   });
   return { job: new Job(spec, NOW, 1), reads: () => reads };
@@ -68,6 +74,29 @@
   });
 });
 
+void describe("placement/shard-summary", () => {
+  // Guards against adding a large job's tasks to its team's usage one by one, for each summary.
+  test("the demand of a job costs the same whatever its number of tasks", () => {
+    const readsWith = (tasks: number): number => {
+      const { job, reads } = countedJob({ tasks, team: "free" }, "cpus");
+      const [demand] = computeDemand(placementInput([job], []));
+      assert.equal(demand?.count, tasks);
+      return reads();
+    };
+    assert.equal(readsWith(25_000), readsWith(1));
+  });
+
+  test("the demand of a job is limited by its team's quota and by its own limit on parallel tasks", () => {
+    const demandOf = (job: Job): number | undefined => computeDemand(placementInput([job], []))[0]?.count;
+    const cpusMax = testSettings().teams.find(({ name }) => name === "capped")!.cpusMax;
+    const spec = jobSpec("req-1", { tasks: 1000, cpus: 0.25, team: "capped" });
+    assert.equal(demandOf(new Job(spec, NOW, 1)), cpusMax / 0.25);
+    assert.equal(demandOf(new Job(spec, NOW, 1, 3)), 3);
+    const none = new Job({ ...spec, team: "unknown" }, NOW, 1);
+    assert.equal(demandOf(none), undefined);
+  });
+});
+
 void describe("placement/preemption", () => {
   test("whether a task can be preempted is computed once per task, however many jobs wait for its capacity", () => {
     const machines = newMachines();
