--- a/src/placement/capacity-forecast.ts
+++ b/src/placement/capacity-forecast.ts
@@ -4,13 +4,7 @@
  */
 import type { MachineType } from "../wire/index.js";
 import type { Job } from "../workers/job.js";
-import {
-  countTasksByZone,
-  countZone,
-  isEligible,
-  maxTasksPerZone,
-  tasksAllowedInZone,
-} from "./eligibility.js";
+import { countZone, isEligible, maxTasksPerZone, tasksAllowedInZone } from "./eligibility.js";
 import { orderByPriority } from "./job-queue.js";
 import {
   earliestFitMs,
@@ -45,7 +39,7 @@
   if (input.waiting.size === 0) return unmet;
   const forecasts = forecastMachines(input);
   for (const job of orderByPriority([...input.waiting.keys()], input)) {
-    const tasksByZone = isZoneConstrained(job) ? countTasksByZone(job) : null;
+    const tasksByZone = isZoneConstrained(job) ? new Map(job.tasksByZone) : null;
     const count = assignFutureCapacity(job, input.waiting.get(job)!, forecasts, tasksByZone, input);
     if (count > 0) unmet.push(...splitByZone(job, count, tasksByZone, input.types));
   }
--- a/src/placement/eligibility.ts
+++ b/src/placement/eligibility.ts
@@ -38,13 +38,6 @@
   );
 }
 
-/** The number of a job's tasks in each zone, including every attempt that is not proven gone. */
-export function countTasksByZone(job: Job): Map<string, number> {
-  const tasksByZone = new Map<string, number>();
-  for (const { machine } of job.activeAttempts.values()) countZone(tasksByZone, machine);
-  return tasksByZone;
-}
-
 /** Counts more tasks in a machine's zone. */
 export function countZone(tasksByZone: Map<string, number>, { record }: Machine, tasks = 1): void {
   tasksByZone.set(record.zone, (tasksByZone.get(record.zone) ?? 0) + tasks);
--- a/src/placement/job-placement.ts
+++ b/src/placement/job-placement.ts
@@ -3,7 +3,7 @@
 import type { Job } from "../workers/job.js";
 import { fitsOneMore } from "./capacity.js";
 import { takeTask } from "../workers/resources.js";
-import { allowsZone, countTasksByZone, countZone, isEligible } from "./eligibility.js";
+import { allowsZone, countZone, isEligible } from "./eligibility.js";
 import type { MachineCapacity } from "./machine-capacity.js";
 import { scoreMachine } from "./placement-score.js";
 import { addUsage, isWithinQuota, teamOf, type QuotaUsage } from "./quota.js";
@@ -63,7 +63,7 @@
   // The score rises as a machine fills up: each machine is filled before the next one is considered.
   candidates.sort((a, b) => b.score - a.score);
   const { oneZone, spread } = job.spec;
-  const tasksByZone = oneZone || spread ? countTasksByZone(job) : null;
+  const tasksByZone = oneZone || spread ? new Map(job.tasksByZone) : null;
   const waitingTasks = job.waitingTasks();
   const allocation: JobAllocation = { job, state, team, usage, tasksByZone, waitingTasks, placedCount: 0 };
   for (const { capacity } of candidates) {
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -8,7 +8,7 @@
 import type { Machine } from "../workers/machine.js";
 import type { Placement } from "../workers/placement.js";
 import { returnTask, takeTask } from "../workers/resources.js";
-import { countTasksByZone, countZone, isEligible, isStartable } from "./eligibility.js";
+import { countZone, isEligible, isStartable } from "./eligibility.js";
 import { orderByPriority } from "./job-queue.js";
 import {
   preemptableCapacities,
@@ -63,7 +63,7 @@
       team: teamOf(job, input.teams),
       usage: quota.byTeam.get(job.spec.team)!,
       unreconciled: quota.unreconciled,
-      tasksByZone: countTasksByZone(job),
+      tasksByZone: new Map(job.tasksByZone),
       queuePositions,
       canBePreempted,
       now: input.now,
--- a/src/workers/job.ts
+++ b/src/workers/job.ts
@@ -19,6 +19,8 @@
   readonly activeAttempts = new Map<number, Placement>();
   /** Tasks of which an earlier attempt was stopped or lost, by task number; added to when an attempt is released. */
   readonly interruptedTasks = new Set<number>();
+  /** The number of active attempts in each zone; maintained so that no heartbeat has to count them. */
+  private readonly activeCountByZone = new Map<string, number>();
   /** The number of active attempts whose task is not completed; maintained so that no heartbeat has to count them. */
   private activeUndoneCount = 0;
   /** Every task below this number is completed or placed; no other task is skipped in a search for waiting ones. */
@@ -85,18 +87,33 @@
   attach(placement: Placement): void {
     const former = this.activeAttempts.get(placement.index);
     if (former === undefined && !this.done.has(placement.index)) this.activeUndoneCount++;
+    if (former !== undefined) this.countInZone(former, -1);
     this.activeAttempts.set(placement.index, placement);
+    this.countInZone(placement, 1);
   }
 
   /** Removes an attempt, unless another attempt has replaced it. */
   detach(placement: Placement): void {
     if (this.activeAttempts.get(placement.index) !== placement) return;
     this.activeAttempts.delete(placement.index);
+    this.countInZone(placement, -1);
     if (this.done.has(placement.index)) return;
     this.activeUndoneCount--;
     this.firstWaitingHint = Math.min(this.firstWaitingHint, placement.index);
   }
 
+  /** The number of tasks in each zone that has any, including every attempt that is not proven gone. */
+  get tasksByZone(): ReadonlyMap<string, number> {
+    return this.activeCountByZone;
+  }
+
+  private countInZone({ machine }: Placement, change: 1 | -1): void {
+    const { zone } = machine.record;
+    const count = (this.activeCountByZone.get(zone) ?? 0) + change;
+    if (count > 0) this.activeCountByZone.set(zone, count);
+    else this.activeCountByZone.delete(zone);
+  }
+
   /** Marks a task as completed. Returns false if it was already, or if the job has no such task. */
   markDone(index: number): boolean {
     if (!this.done.add(index)) return false;
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -190,6 +190,38 @@
     assert.ok(lookUps.callCount() <= 4, `${lookUps.callCount()} look-ups`);
   });
 
+  test("placing a zone-constrained job after a heartbeat does not look at its running tasks", () => {
+    const job = newJob("req-1", { tasks: 500, oneZone: true });
+    const [busy, idle] = newMachines(2) as [Machine, Machine];
+    for (let index = 0; index < 400; index++) startTask(busy, job, index);
+    const input = placementInput([job], [busy, idle]);
+    const values = mock.method(job.activeAttempts, "values").mock;
+    const { starts } = placeOnMachine(idle, buildQueue(input), input, () => false);
+    assert.equal(starts.length, 4);
+    assert.equal(values.callCount(), 0);
+  });
+});
+
+void describe("workers/job", () => {
+  test("a job's tasks are counted in the zone of their machines until they are released", () => {
+    const job = newJob("req-1", { tasks: 4 });
+    const [north, south] = [newMachine("i-1"), newMachine("i-2", { zone: "south" })];
+    const first = startTask(north, job, 0);
+    startTask(north, job, 1);
+    const moved = startTask(south, job, 1);
+    assert.deepEqual(
+      [...job.tasksByZone],
+      [
+        ["north", 1],
+        ["south", 1],
+      ],
+    );
+    job.detach(moved);
+    job.detach(first);
+    job.detach(first);
+    assert.deepEqual([...job.tasksByZone], []);
+  });
+
   test("a task that becomes free again is the next one to be placed", () => {
     const job = newJob("req-1", { tasks: 4, cpus: 4 });
     const machines = newMachines(4);
