--- a/test/fault-combinations.test.ts
+++ b/test/fault-combinations.test.ts
@@ -5,6 +5,7 @@
 import { faultCombinations } from "./support/fault-combinations.js";
 import { cancellationChains } from "./support/cancellation-chains.js";
 import { jobMigrations } from "./support/job-transfers.js";
+import { mistakenJobs } from "./support/mistaken-jobs.js";
 import { Simulation } from "./support/simulation.js";
 import type { SettingsOptions } from "./support/settings.js";
 import { injectRandomFaults } from "./support/faults.js";
@@ -45,6 +46,7 @@
   ...faultCombinations,
   ...jobMigrations,
   ...cancellationChains,
+  ...mistakenJobs,
 ]) {
   const name = `fault combination: ${combination}`;
   test(name, knownFailure(name), async () => {
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -14,7 +14,7 @@
 import { sleep } from "../../src/runtime/sleep.js";
 import { PeerUnreachableError, type PeerNetwork } from "../../src/peers/peer-network.js";
 import type { PeerReply, PeerRequest } from "../../src/peers/peer-messages.js";
-import { parseHeartbeat, redirectToWire } from "../../src/wire/index.js";
+import { MAX_BODY_BYTES, parseHeartbeat, redirectToWire } from "../../src/wire/index.js";
 import { FakeCloud } from "./cloud.js";
 import { submission, type Answer } from "./cluster.js";
 import { silentLogger } from "./records.js";
@@ -410,6 +410,7 @@
     const { instance } = node;
     if (instance === null) return Promise.reject(new Error("refused"));
     const handleRequest = async (): Promise<{ status: number; body: unknown }> => {
+      if (Buffer.byteLength(text) > MAX_BODY_BYTES) return { status: 400, body: {} };
       const parsed = parseHeartbeat(JSON.parse(text));
       if (!parsed.ok) return { status: 400, body: {} };
       const routed = await instance.controller.httpDependencies.routeHeartbeat(parsed.value);
