Test of a cancelled job: fewer machines than tasks, as its comment says

With four machines sixteen tasks run at a time, and tasks are queued when the job is cancelled, as the test means it. Its checks are the same.

--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -38,6 +38,7 @@
 
 clusterTest("a cancelled job stays cancelled, and none of its tasks keeps running", 1, async (cluster) => {
   // More tasks than can run at the same time, so that some are queued while others run.
+  cluster.cloud.capacity = 4;
   await cluster.until(
     () => cluster.request(0, "POST", "/work", submission("req-2", { pieces: 300 })),
     isAccepted,
