--- a/src/placement/migration-policy.ts
+++ b/src/placement/migration-policy.ts
@@ -1,4 +1,5 @@
 /** Chooses jobs that may migrate to another shard, and reports the free capacity for jobs of other shards. Pure. */
+import { poolKey } from "../cloud/instance-pool.js";
 import type { FreeCapacity, MigrationCandidate } from "../peers/peer-messages.js";
 import type { QuotaReservation } from "../jobs/job-records.js";
 import { MAX_WAIT_WITH_FREE_CAPACITY_S } from "../wire/index.js";
@@ -96,7 +97,7 @@
     // Most machines are full: compute the other resources only for those that are not.
     const freeCpus = type.cpus - machine.usedResources().cpus;
     const { zone, spot } = machine.record;
-    const pool = `${type.name}/${zone}/${spot}`;
+    const pool = poolKey(machine.record);
     if (freeCpus <= ROUNDING_TOLERANCE || freeCpus <= (largestByPool.get(pool)?.cpus ?? 0)) continue;
     const { cpus, gpus, memoryGb } = freeCapacityOf(machine, type);
     largestByPool.set(pool, { type: type.name, zone, spot, cpus, gpus, memoryGb });
