--- a/src/shards/round-throttle.ts
+++ b/src/shards/round-throttle.ts
@@ -1,16 +1,21 @@
 /** Limits how often the owner of one shard runs full placement rounds and searches for tasks to preempt. */
 import type { SteadyClock } from "../runtime/clock.js";
+import type { Logger } from "../runtime/log.js";
 import type { Shard } from "./shard.js";
 import type { ShardOwnerTimings } from "./shard-owner-messages.js";
 
 /** The fraction of time, approximately, that full rounds triggered by heartbeats may take. */
 const ROUND_TIME_FRACTION = 1 / 8;
 
-/** The shard, time limits and clock that the throttle depends on. */
+/** A round that takes this many times its budget is logged: nothing else ran meanwhile. */
+const SLOW_ROUND_BUDGETS = 10;
+
+/** The shard, time limits, clock and logger that the throttle depends on. */
 export interface RoundThrottleDependencies {
   readonly shard: Shard;
   readonly timings: Pick<ShardOwnerTimings, "roundBudgetMs" | "minPreemptionIntervalMs">;
   readonly clock: SteadyClock;
+  readonly log: Logger;
 }
 
 /** Runs placement rounds and preemption searches of one shard, and skips those that are not due. */
@@ -21,11 +26,13 @@
   private readonly shard: Shard;
   private readonly timings: RoundThrottleDependencies["timings"];
   private readonly clock: SteadyClock;
+  private readonly log: Logger;
 
-  constructor({ shard, timings, clock }: RoundThrottleDependencies) {
+  constructor({ shard, timings, clock, log }: RoundThrottleDependencies) {
     this.shard = shard;
     this.timings = timings;
     this.clock = clock;
+    this.log = log;
   }
 
   /**
@@ -41,11 +48,14 @@
   place(token: number): boolean {
     const startedAt = this.clock();
     const deadlineAt = startedAt + this.timings.roundBudgetMs;
-    const placed = this.shard.place(token, startedAt, this.clock, deadlineAt) > 0;
+    const starts = this.shard.place(token, startedAt, this.clock, deadlineAt);
     const endedAt = this.clock();
+    const tookMs = endedAt - startedAt;
+    if (tookMs > SLOW_ROUND_BUDGETS * this.timings.roundBudgetMs)
+      this.log.info({ shard: this.shard.id, tookMs: Math.round(tookMs), starts }, "placement round was slow");
     // In a large shard a full round at every heartbeat would leave little time for anything else.
-    this.nextRoundAt = endedAt + (endedAt - startedAt) / ROUND_TIME_FRACTION;
-    return placed;
+    this.nextRoundAt = endedAt + tookMs / ROUND_TIME_FRACTION;
+    return starts > 0;
   }
 
   /**
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -5,8 +5,10 @@
 import { choosePreemptions } from "../src/placement/preemption.js";
 import { computeDemand } from "../src/placement/shard-summary.js";
 import type { SteadyClock } from "../src/runtime/clock.js";
+import type { Logger } from "../src/runtime/log.js";
 import { RenewalGuard } from "../src/shards/renewal-guard.js";
 import { DecisionMetrics } from "../src/shards/decision-metrics.js";
+import { RoundThrottle } from "../src/shards/round-throttle.js";
 import { ShardOwner } from "../src/shards/shard-owner.js";
 import type { Shard } from "../src/shards/shard.js";
 import type { StateStoreClient } from "../src/state/state-store-client.js";
@@ -122,7 +124,7 @@
 const HEARTBEATS = 500;
 
 /** A fake shard whose full placement rounds take time; it has the methods that its owner calls at a heartbeat. */
-function slowShard(advance: (ms: number) => void) {
+function slowShard(advance: (ms: number) => void, roundMs = ROUND_MS) {
   return {
     id: 0,
     needsFullRound: true,
@@ -136,7 +138,7 @@
     isLiveJob: () => true,
     resetAttempts: () => undefined,
     place: mock.fn(() => {
-      advance(ROUND_MS);
+      advance(roundMs);
       return 0;
     }),
     placeOnMachine: mock.fn(() => 0),
@@ -188,4 +190,19 @@
     assert.ok(rounds * ROUND_MS < now / 4, `${rounds} rounds took ${rounds * ROUND_MS} of ${now} ms`);
     assert.equal(rounds + shard.placeOnMachine.mock.callCount(), HEARTBEATS);
   });
+
+  // Guards against a process that stands still for seconds and leaves no trace of why.
+  test("a round that takes many times its budget is logged", () => {
+    const logged = (roundMs: number): unknown[] => {
+      let now = 0;
+      const shard = slowShard((ms) => (now += ms), roundMs) as unknown as Shard;
+      const info = mock.fn((_fields: object, _message: string) => undefined);
+      const timings = { roundBudgetMs: 50, minPreemptionIntervalMs: 1000 };
+      const log = { info } as unknown as Logger;
+      new RoundThrottle({ shard, timings, clock: () => now, log }).place(1);
+      return info.mock.calls.map((call) => call.arguments);
+    };
+    assert.deepEqual(logged(100), []);
+    assert.deepEqual(logged(600), [[{ shard: 0, tookMs: 600, starts: 0 }, "placement round was slow"]]);
+  });
 });
