--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -12,8 +12,9 @@
   readonly placements = new Set<Placement>();
   /** Reported tasks that match no known attempt and are being stopped, as "job/index". */
   orphanTasks = new Set<string>();
-  private reportedTasks: readonly TaskStatus[] = [];
-  /** The number of exited tasks that the worker keeps in its heartbeats until it is told to forget them. */
+  /** The number of tasks in the last reconciled heartbeat; used to check that a drained machine is empty. */
+  private reportedTaskCount = 0;
+  /** How many of them have exited: the worker keeps them in its heartbeats until it is told to forget them. */
   private exitedTaskCount = 0;
   /** Images that the machine is known to have pulled, because a task that uses them has run there. */
   readonly images = new Set<string>();
@@ -111,15 +112,15 @@
     return MAX_TASKS_PER_MACHINE - this.placements.size - this.orphanTasks.size - this.exitedTaskCount;
   }
 
-  /** Records the tasks in the last reconciled heartbeat; none once they are proven to have ended. */
+  /** Counts the tasks in the last reconciled heartbeat; none once they are proven to have ended. */
   recordReportedTasks(tasks: readonly TaskStatus[]): void {
-    this.reportedTasks = tasks;
+    this.reportedTaskCount = tasks.length;
     this.exitedTaskCount = tasks.filter(({ state }) => state === "exited").length;
   }
 
   /** Whether the machine has no task according to both the placements and the last heartbeat. */
   get isEmpty(): boolean {
-    return this.placements.size === 0 && this.orphanTasks.size === 0 && this.reportedTasks.length === 0;
+    return this.placements.size === 0 && this.orphanTasks.size === 0 && this.reportedTaskCount === 0;
   }
 
   /** The resources used by all placements; maintained incrementally so that no heartbeat has to sum them. */
