--- a/test/fault-combinations.test.ts
+++ b/test/fault-combinations.test.ts
@@ -4,8 +4,9 @@
 import { knownFailure } from "./support/known-red.js";
 import { faultCombinations } from "./support/fault-combinations.js";
 import { cancellationChains } from "./support/cancellation-chains.js";
+import { cancellationScenarios } from "./support/cancellation-scenarios.js";
 import { jobMigrations } from "./support/job-transfers.js";
-import { mistakenJobs } from "./support/mistaken-jobs.js";
+import { loadScenarios } from "./support/load-scenarios.js";
 import { Simulation } from "./support/simulation.js";
 import type { SettingsOptions } from "./support/settings.js";
 import { injectRandomFaults } from "./support/faults.js";
@@ -44,9 +45,10 @@
 
 for (const { name: combination, run, settings } of [
   ...faultCombinations,
+  ...loadScenarios,
+  ...cancellationScenarios,
   ...jobMigrations,
   ...cancellationChains,
-  ...mistakenJobs,
 ]) {
   const name = `fault combination: ${combination}`;
   test(name, knownFailure(name), async () => {
--- a/test/support/cancellation-chains.ts
+++ b/test/support/cancellation-chains.ts
@@ -1,6 +1,6 @@
 /** Fault combinations in which a job is cancelled while a series of owners each receive one heartbeat per worker. */
 import assert from "node:assert/strict";
-import type { FaultCombination } from "./fault-combinations.js";
+import type { FaultCombination } from "./scenario.js";
 import type { Simulation, SimulatedNode, UserJob } from "./simulation.js";
 
 /** As many tasks as fill one machine, so that all of them depend on one worker's lease. */
--- a/test/support/job-transfers.ts
+++ b/test/support/job-transfers.ts
@@ -1,6 +1,6 @@
 /** Fault combinations around the migration of a job from a full shard to a shard with free capacity. */
 import assert from "node:assert/strict";
-import type { FaultCombination } from "./fault-combinations.js";
+import type { FaultCombination } from "./scenario.js";
 import type { Simulation, UserJob } from "./simulation.js";
 
 /** Longer than a cordoned machine may take to become empty, so that no machine is transferred instead of the job. */
