Rent machines for what tiny tasks need, not for a slot for each of them

Change: the forecast counts slots only for a job without any active task, since every job must begin; a running job's other tasks may wait for a slot. Unmet tasks that would fill a machine's slots before its resources count as demand for their resources only, and for one task at least.

--- a/src/placement/capacity.ts
+++ b/src/placement/capacity.ts
@@ -21,12 +21,15 @@
 
 /** How many tasks that need `need` fit into what is left of a machine. */
 export function slotsIn(remaining: RemainingCapacity, need: Resources): number {
-  return Math.min(
-    remaining.taskSlots,
-    slotsOf(remaining.cpus, need.cpus),
-    slotsOf(remaining.gpus, need.gpus),
-    slotsOf(remaining.memoryGb, need.memoryGb),
-  );
+  return Math.min(remaining.taskSlots, slotsByResources(remaining, need));
+}
+
+/**
+ * The fraction of a machine type's resources that are used once the machine has the most tasks that it may have, if all
+ * need `need`; 1 if they fill it before, or if none fits.
+ */
+export function fillAtTaskLimit(need: Resources, type: Resources): number {
+  return Math.min(1, MAX_TASKS_PER_MACHINE / slotsByResources(type, need));
 }
 
 /** How many tasks that need `need` fit on an empty machine of a type. */
@@ -34,6 +37,15 @@
   return slotsIn({ cpus, gpus, memoryGb, taskSlots: MAX_TASKS_PER_MACHINE }, need);
 }
 
+/** How many tasks the resources alone allow; Infinity if a task needs none. */
+function slotsByResources(available: Resources, need: Resources): number {
+  return Math.min(
+    slotsOf(available.cpus, need.cpus),
+    slotsOf(available.gpus, need.gpus),
+    slotsOf(available.memoryGb, need.memoryGb),
+  );
+}
+
 function slotsOf(available: number, needPerTask: number): number {
   return needPerTask > 0 ? Math.floor(available / needPerTask + ROUNDING_TOLERANCE) : Infinity;
 }
--- a/src/placement/machine-forecast.ts
+++ b/src/placement/machine-forecast.ts
@@ -54,7 +54,13 @@
   return [{ machine, timeline: timeline.sort((a, b) => a.availableInMs - b.availableInMs) }];
 }
 
-const NO_CAPACITY: Readonly<RemainingCapacity> = { cpus: 0, gpus: 0, memoryGb: 0, taskSlots: 0 };
+/**
+ * No capacity yet. Slots are counted for a job without any active task alone: it must start, while more tasks of a
+ * running job may wait for a slot. Otherwise a job of tiny tasks would be given machines that stay nearly empty.
+ */
+function noCapacityFor({ activeAttempts }: Job): RemainingCapacity {
+  return { cpus: 0, gpus: 0, memoryGb: 0, taskSlots: activeAttempts.size > 0 ? Infinity : 0 };
+}
 
 function addCapacity(sum: RemainingCapacity, released: FutureCapacity): void {
   addResources(sum, released);
@@ -63,7 +69,7 @@
 
 /** The time in milliseconds until one task of the job fits; null if that is longer than `longestWaitMs`. */
 export function earliestFitMs(timeline: FutureCapacity[], job: Job, longestWaitMs: number): number | null {
-  const free = { ...NO_CAPACITY };
+  const free = noCapacityFor(job);
   for (const entry of timeline) {
     if (entry.availableInMs > longestWaitMs) return null;
     addCapacity(free, entry);
@@ -74,7 +80,7 @@
 
 /** How many tasks of the job fit at `startsInMs`; at least 1, as the caller has found that one fits. */
 export function slotsAvailableAt(timeline: FutureCapacity[], job: Job, startsInMs: number): number {
-  const free = { ...NO_CAPACITY };
+  const free = noCapacityFor(job);
   for (const entry of timeline) {
     if (entry.availableInMs > startsInMs) break;
     addCapacity(free, entry);
@@ -119,6 +125,8 @@
     // An entry of slots alone would only make the timeline longer: no task fits there before the run ends.
     else released.taskSlots += entry.taskSlots;
   }
+  // Only the slots that were there are released again.
+  released.taskSlots -= outstanding.taskSlots;
   const position = remaining.findIndex((entry) => entry.availableInMs > endsInMs);
   remaining.splice(position < 0 ? remaining.length : position, 0, released);
   return remaining;
--- a/src/placement/shard-summary.ts
+++ b/src/placement/shard-summary.ts
@@ -1,10 +1,11 @@
 /** Computes the shard summary that an owner reports to the leader: load, demand and machine states. Pure. */
 import type { Demand, MachineSummary, ShardLoad, ShardSummary } from "../peers/peer-messages.js";
+import type { MachineType } from "../wire/index.js";
 import type { Job } from "../workers/job.js";
 import type { Machine } from "../workers/machine.js";
 import type { Placement } from "../workers/placement.js";
 import { forecastUnmetDemand, type UnmetDemand } from "./capacity-forecast.js";
-import { slotsPerMachine } from "./capacity.js";
+import { fillAtTaskLimit, slotsPerMachine } from "./capacity.js";
 import { isEligible, isStartable } from "./eligibility.js";
 import { orderByPriority } from "./job-queue.js";
 import {
@@ -52,7 +53,10 @@
     const count = claimQuota(job, quota, input);
     if (count > 0) waiting.set(job, count);
   }
-  return groupDemand(forecastUnmetDemand({ ...input, waiting }));
+  const unmet = forecastUnmetDemand({ ...input, waiting });
+  return groupDemand(
+    unmet.map((part) => ({ ...part, count: tasksToRentFor(part.job, part.count, input.types) })),
+  );
 }
 
 /** How many more tasks of a job may run within its team's quota. Adds them to the team's usage. */
@@ -86,6 +90,20 @@
   return 1;
 }
 
+/**
+ * How many of a job's unmet tasks machines are rented for. Where a machine has the most tasks that it may have before its
+ * resources are used, only as many as need these resources: the team's quota limits resources, and a machine for each
+ * few hundred tiny tasks would exceed by far what it allows. At least one, so that the job can start.
+ */
+function tasksToRentFor({ spec }: Job, count: number, types: Map<string, MachineType>): number {
+  const fills = [...types.values()]
+    .filter(({ name }) => spec.types === null || spec.types.includes(name))
+    .filter((type) => slotsPerMachine(spec, type) > 0)
+    .map((type) => fillAtTaskLimit(spec, type));
+  const fill = fills.length > 0 ? Math.max(...fills) : 1;
+  return Math.max(1, Math.ceil(count * fill));
+}
+
 function groupDemand(unmet: UnmetDemand[]): Demand[] {
   const groups = new Map<string, Demand>();
   for (const { job, count, zone } of unmet) {
