Tests: one builder each for heartbeats and for a number of machines

The tests of large jobs had made their own copies of both: newMachines stood in overload.test.ts too, and the fields of a heartbeat in renewal.test.ts and large-fleets.test.ts. They now come from records.ts and shard-state.ts.

--- a/test/large-fleets.test.ts
+++ b/test/large-fleets.test.ts
@@ -8,7 +8,7 @@
 import type { Demand, Frame, MachineSummary } from "../src/peers/peer-messages.js";
 import { keys } from "../src/state/keys.js";
 import type { Heartbeat } from "../src/wire/index.js";
-import { FakeView, smallType } from "./support/records.js";
+import { FakeView, newHeartbeat, smallType } from "./support/records.js";
 import { testSettings } from "./support/settings.js";
 import { newShard } from "./support/shard.js";
 
@@ -36,19 +36,7 @@
   const machines = Object.fromEntries(hosts.map((host) => [host, "up"]));
   const added = view.put(keys.machineGroup("all"), { ...group, machines }, 1);
   shard.sync(view, [added], 0);
-  const heartbeat = (host: string): Heartbeat => {
-    const pool = { type: smallType.name, zone: "north", spot: false };
-    return {
-      host,
-      ...pool,
-      address: "a:1",
-      epoch: 1,
-      sequence: 5,
-      highestToken: 3,
-      interruptionNoticeS: null,
-      tasks: [],
-    };
-  };
+  const heartbeat = (host: string): Heartbeat => newHeartbeat({ host, sequence: 5, highestToken: 3 });
   for (const host of hosts) assert.notEqual(shard.reconcileHeartbeat(heartbeat(host), 0), null);
   shard.sync(view, [view.remove(keys.machineGroup("all"), 2)], 0);
   shard.sync(view, [view.put(keys.machineGroup("all"), { ...group, machines }, 3)], 0);
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -13,7 +13,6 @@
   MAX_TASKS,
   MAX_TASKS_PER_MACHINE,
   parseHeartbeat,
-  type Heartbeat,
   type TaskStatus,
   type WorkerCommand,
 } from "../src/wire/index.js";
@@ -21,15 +20,12 @@
 import { LeaseRenewal } from "../src/workers/lease-renewal.js";
 import type { Machine } from "../src/workers/machine.js";
 import { limitCommands } from "../src/workers/worker-commands.js";
-import { smallType } from "./support/records.js";
-import { newJob, newMachine, NOW, placementInput, startTask } from "./support/shard-state.js";
+import { newHeartbeat, smallType } from "./support/records.js";
+import { newJob, newMachine, newMachines, NOW, placementInput, startTask } from "./support/shard-state.js";
 
 /** The needs of a task of which thousands fit on one machine. */
 const TINY = { cpus: 0.0001, memoryGb: 0.0001 };
 
-const newMachines = (count: number): Machine[] =>
-  Array.from({ length: count }, (_, i) => newMachine(`i-${i}`));
-
 /** Counts how often it is looked up whether a task of the job has an active attempt. */
 const countLookUps = (job: Job) => mock.method(job.activeAttempts, "has").mock;
 
@@ -49,12 +45,6 @@
   saved: false,
 };
 
-const heartbeatOf = (tasks: TaskStatus[]): Heartbeat => ({
-  ...{ host: "i-1", address: "a:1", type: "small", zone: "north", spot: false },
-  ...{ epoch: 1, sequence: 1, highestToken: 1, interruptionNoticeS: null },
-  tasks,
-});
-
 // Guards against a machine with so many tasks that its heartbeats are too long to be accepted, so that its lease ends.
 void describe("tasks on one machine", () => {
   test("the longest heartbeat of a machine with the most tasks, and its longest response, keep the size limit", () => {
@@ -144,11 +134,11 @@
       },
       ...{ job, index, attempt, graceS: 0 },
     }));
-    const renewal = LeaseRenewal.decide(1, heartbeatOf(tasks), commands, () => false);
+    const renewal = LeaseRenewal.decide(1, newHeartbeat({ tasks }), commands, () => false);
     assert.ok(renewal instanceof LeaseRenewal);
     assert.ok(reads <= 3 * commands.length, `${reads} reads`);
     const [first, ...others] = commands;
-    const rejected = LeaseRenewal.decide(1, heartbeatOf(tasks), others, () => false);
+    const rejected = LeaseRenewal.decide(1, newHeartbeat({ tasks }), others, () => false);
     assert.deepEqual(rejected, { reason: "ended_task_kept", task: `req-1/${first?.index}` });
   });
 });
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -13,17 +13,14 @@
 import type { Shard } from "../src/shards/shard.js";
 import type { StateStoreClient } from "../src/state/state-store-client.js";
 import { Job } from "../src/workers/job.js";
-import type { Machine } from "../src/workers/machine.js";
 import { Fleet } from "../src/workers/fleet.js";
 import { parseHeartbeat, type JobSpec } from "../src/wire/index.js";
 import { FakeView, jobSpec, silentLogger } from "./support/records.js";
 import { testSettings } from "./support/settings.js";
-import { newJob, newMachine, NOW, placementInput, startTask } from "./support/shard-state.js";
+import { newJob, newMachines, NOW, placementInput, startTask } from "./support/shard-state.js";
 
 const MACHINES = 100;
 
-const newMachines = (): Machine[] => Array.from({ length: MACHINES }, (_, i) => newMachine(`i-${i}`));
-
 /** A job that counts how often a requirement of its tasks is read. */
 function countedJob(
   over: Partial<JobSpec>,
@@ -45,7 +42,7 @@
   test("the forecast considers the tasks of a large job in batches that fit a machine, not one by one", () => {
     const tasks = 25_000;
     const { job, reads } = countedJob({ tasks, cpus: 0.25, estimateS: 5, priority: "best_effort" });
-    const input = placementInput([job], newMachines());
+    const input = placementInput([job], newMachines(MACHINES));
     const unmet = forecastUnmetDemand({ ...input, waiting: new Map([[job, tasks]]) });
     // Sixteen tasks fit a machine at a time, and each slot is reused for as long as the job can wait.
     assert.ok((unmet[0]?.count ?? 0) < tasks / 2, "most tasks find capacity in time");
@@ -56,7 +53,7 @@
   test("the forecast considers in one step how often a job's tasks use a slot one after the other", () => {
     const tasks = 25_000;
     const { job, reads } = countedJob({ tasks, cpus: 4, estimateS: 0.001 });
-    const input = placementInput([job], newMachines());
+    const input = placementInput([job], newMachines(MACHINES));
     const unmet = forecastUnmetDemand({ ...input, waiting: new Map([[job, tasks]]) });
     assert.deepEqual(unmet, []);
     assert.ok(reads() < tasks / 2, `${reads()} reads`);
@@ -67,7 +64,7 @@
     const tasks = 25_000;
     for (const constraint of [{ oneZone: true }, { spread: true }]) {
       const { job, reads } = countedJob({ tasks, cpus: 0.25, estimateS: 0, ...constraint });
-      const input = placementInput([job], newMachines());
+      const input = placementInput([job], newMachines(MACHINES));
       const unmet = forecastUnmetDemand({ ...input, waiting: new Map([[job, tasks]]) });
       const unmetTasks = unmet.reduce((sum, { count }) => sum + count, 0);
       assert.equal(unmetTasks, job.spec.spread ? tasks / 2 : 0);
@@ -101,7 +98,7 @@
 
 void describe("placement/preemption", () => {
   test("whether a task can be preempted is computed once per task, however many jobs wait for its capacity", () => {
-    const machines = newMachines();
+    const machines = newMachines(MACHINES);
     const low = newJob("req-1", { tasks: 4 * MACHINES, priority: "best_effort", checkpointS: 9 });
     machines.forEach((machine, i) => {
       for (let slot = 0; slot < 4; slot++) startTask(machine, low, 4 * i + slot, NOW - 1000);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -11,7 +11,15 @@
 import type { Machine } from "../src/workers/machine.js";
 import { jobSpec, silentLogger } from "./support/records.js";
 import { testSettings } from "./support/settings.js";
-import { endTask, newJob, newMachine, NOW, placementInput, startTask } from "./support/shard-state.js";
+import {
+  endTask,
+  newJob,
+  newMachine,
+  newMachines,
+  NOW,
+  placementInput,
+  startTask,
+} from "./support/shard-state.js";
 
 const { teams } = testSettings();
 
@@ -34,7 +42,7 @@
 
   test("a round for one machine's heartbeat costs the same whatever the number of machines in the shard", () => {
     const few = [newMachine("i-0"), newMachine("i-1")];
-    const many = Array.from({ length: 400 }, (_, i) => newMachine(`i-${i}`));
+    const many = newMachines(400);
     const jobs = ["req-1", "req-2", "req-3"].map((id) => newJob(id, { tasks: 50 }));
     const pairsWith = (machines: Machine[]): number => {
       const input = placementInput(jobs, machines);
--- a/test/renewal.test.ts
+++ b/test/renewal.test.ts
@@ -12,7 +12,7 @@
 import type { WorkerCommand, TaskStatus, Heartbeat } from "../src/wire/index.js";
 import { decideRenewalPermission, LeaseRenewal, type RenewalEvidence } from "../src/workers/lease-renewal.js";
 import { limitCommands } from "../src/workers/worker-commands.js";
-import { FakeView, jobSpec } from "./support/records.js";
+import { FakeView, jobSpec, newHeartbeat } from "./support/records.js";
 import { newShard } from "./support/shard.js";
 
 const STALE_MS = 16_000;
@@ -26,18 +26,7 @@
   cause: state === "exited" ? "done" : null,
   saved: false,
 });
-const heartbeat = (...tasks: TaskStatus[]): Heartbeat => ({
-  host: "i-1",
-  address: "a:1",
-  type: "small",
-  zone: "north",
-  spot: false,
-  epoch: 1,
-  sequence: 1,
-  highestToken: 7,
-  interruptionNoticeS: null,
-  tasks,
-});
+const heartbeat = (...tasks: TaskStatus[]): Heartbeat => newHeartbeat({ highestToken: 7, tasks });
 const stop = (job: string, graceS = 0): WorkerCommand => ({ op: "stop", job, index: 0, attempt: 5, graceS });
 const start = (job: string): WorkerCommand => ({ op: "start", job, index: 0, attempt: 6 });
 interface LogLine {
--- a/test/support/records.ts
+++ b/test/support/records.ts
@@ -1,6 +1,6 @@
-/** Builders of records, a machine type, a silent logger and an in-memory replica view. */
+/** Builders of records, heartbeats, a machine type, a silent logger and an in-memory replica view. */
 import { pino } from "pino";
-import type { RecordChange, RecordEntry, JobSpec, MachineType } from "../../src/wire/index.js";
+import type { Heartbeat, RecordChange, RecordEntry, JobSpec, MachineType } from "../../src/wire/index.js";
 import type { ReplicaView } from "../../src/state/replica.js";
 
 /** A logger that discards everything. */
@@ -73,3 +73,20 @@
     ...overrides,
   };
 }
+
+/** Builds a heartbeat; by default the first one of a machine of the small type without tasks. */
+export function newHeartbeat(overrides: Partial<Heartbeat> = {}): Heartbeat {
+  return {
+    host: "i-1",
+    address: "a:1",
+    type: smallType.name,
+    zone: "north",
+    spot: false,
+    epoch: 1,
+    sequence: 1,
+    highestToken: 1,
+    interruptionNoticeS: null,
+    tasks: [],
+    ...overrides,
+  };
+}
--- a/test/support/shard-state.ts
+++ b/test/support/shard-state.ts
@@ -28,6 +28,10 @@
   return machine;
 }
 
+/** Creates a number of empty, schedulable machines, named `i-0`, `i-1` and so on. */
+export const newMachines = (count: number): Machine[] =>
+  Array.from({ length: count }, (_, i) => newMachine(`i-${i}`));
+
 /** Creates a running attempt of a task, attached to its job and machine. */
 export function startTask(machine: Machine, job: Job, index: number, runningSince = NOW): Placement {
   const placement = newPlacement(job, index, index + 1, machine, runningSince);
