Create a machine's first record through one conditional transaction

Cause: a machine whose rental order is answered late reports before the answer is known. The leader then recorded it twice: once by its heartbeats (MachineRegistration) and once for the order (RentalOrders). Each left out the machines that its replica showed, which is up to the watch's interval behind, and neither transaction had a condition that the other one changed. Stages were then written to one of the two records only, and a new owner that read the other one last did not wait for the machine.

Change: MachineRecordCreator is the only place that creates a machine's first record. Every creation requires the version of the record "registration" that goes with the replica (or this process's own last creation, whose machines it remembers until the replica shows them) and changes it, so that of two creations which do not know of each other one fails. An order whose machines were not recorded stays recorded and is resumed by the next pass.

--- a/src/autoscaling/machine-registration.ts
+++ b/src/autoscaling/machine-registration.ts
@@ -1,27 +1,21 @@
 /** Registers machines that have no record, such as those of a late rental or those that existed from the start. */
 import { poolKey, type InstancePool } from "../cloud/instance-pool.js";
-import { keys } from "../state/keys.js";
-import type { Condition, Heartbeat, Write } from "../wire/index.js";
+import type { Condition, Heartbeat } from "../wire/index.js";
 import type { AutoscalerDependencies } from "./autoscaler-dependencies.js";
-import { machineGroupWrites, type MachineGroupAttributes } from "./machine-group-writes.js";
+import type { MachineRecordCreator, NewMachines } from "./machine-record-creator.js";
 import type { ReturnedMachines } from "./returned-machines.js";
 import type { UnregisteredMachines } from "./unregistered-machines.js";
 
 /** Dependencies of machine registration. */
 export interface MachineRegistrationDependencies extends Pick<
   AutoscalerDependencies,
-  "settings" | "state" | "view" | "fleet" | "clock" | "log"
+  "settings" | "fleet" | "clock" | "log"
 > {
+  readonly recordCreator: MachineRecordCreator;
   readonly unregisteredMachines: UnregisteredMachines;
   readonly returnedMachines: ReturnedMachines;
 }
 
-/** New machines of one pool, assigned to one shard. */
-interface NewGroup {
-  attributes: MachineGroupAttributes;
-  hosts: string[];
-}
-
 /** Collects machines that have no record, assigns them to shards and records them. */
 export class MachineRegistration {
   private readonly poolsByHost = new Map<string, InstancePool>();
@@ -48,33 +42,21 @@
    * @throws {StateStoreError} if the state store returns no usable response
    */
   async register(leaderCondition: Condition): Promise<void> {
-    const { settings, state, log } = this.dependencies;
-    const groups = this.assignToShards();
+    const { recordCreator, log } = this.dependencies;
+    const machines = this.assignToShards();
     this.poolsByHost.clear();
-    const writes = groups.flatMap(({ attributes, hosts }) =>
-      machineGroupWrites(hosts, attributes, settings.state.valueBytes),
-    );
-    if (writes.length === 0) return;
-    log.info({ hosts: groups.flatMap(({ hosts }) => hosts) }, "registering machines");
-    const conditions = [leaderCondition, this.registrationCondition()];
-    const registration: Write = { put: keys.machineRegistration, value: { machines: writes.length } };
-    const maxGroups = state.maxTransactionWrites - 1;
-    await state.compareAndSwap(conditions, [registration, ...writes.slice(0, maxGroups)], "ownership");
-  }
-
-  /** New machines have no record whose version could be checked; the version of this key makes a delayed copy fail. */
-  private registrationCondition(): Condition {
-    const key = keys.machineRegistration;
-    return { key, version: this.dependencies.view.get(key)?.version ?? 0 };
+    if (machines.length === 0) return;
+    log.info({ hosts: machines.flatMap(({ hosts }) => hosts) }, "registering machines");
+    await recordCreator.create(machines, { conditions: [leaderCondition], writes: [] });
   }
 
   /** Assigns each machine to the shard with the fewest machines, and groups the machines by shard and pool. */
-  private assignToShards(): NewGroup[] {
-    const { fleet, returnedMachines } = this.dependencies;
+  private assignToShards(): NewMachines[] {
+    const { recordCreator, returnedMachines } = this.dependencies;
     const machineCounts = this.countMachinesByShard();
-    const groups = new Map<string, NewGroup>();
+    const groups = new Map<string, NewMachines>();
     for (const [host, pool] of this.poolsByHost) {
-      if (fleet.get(host) !== undefined || returnedMachines.has(host)) continue;
+      if (recordCreator.isRecorded(host) || returnedMachines.has(host)) continue;
       const shard = machineCounts.indexOf(Math.min(...machineCounts));
       machineCounts[shard]!++;
       const key = `${shard}/${poolKey(pool)}`;
--- a/src/autoscaling/reconciler.ts
+++ b/src/autoscaling/reconciler.ts
@@ -3,6 +3,7 @@
 import type { Condition, MachineType } from "../wire/index.js";
 import type { AutoscalerDependencies } from "./autoscaler-dependencies.js";
 import { MachineListReader } from "./machine-list-reader.js";
+import { MachineRecordCreator } from "./machine-record-creator.js";
 import { MachineRegistration } from "./machine-registration.js";
 import { MachineReturns } from "./machine-returns.js";
 import { MachineTypeCache } from "./machine-type-cache.js";
@@ -37,8 +38,19 @@
     this.summaries = new SummaryStore(view, fleet, operator.passSpacingMs);
     this.machineTypes = new MachineTypeCache(dependencies);
     this.shardRequests = new ShardRequests(callbacks, operator.passSpacingMs);
-    this.registration = new MachineRegistration({ ...dependencies, unregisteredMachines, returnedMachines });
-    this.rentalOrders = new RentalOrders({ ...dependencies, machineTypes: this.machineTypes, refusals });
+    const recordCreator = new MachineRecordCreator(dependencies);
+    this.registration = new MachineRegistration({
+      ...dependencies,
+      recordCreator,
+      unregisteredMachines,
+      returnedMachines,
+    });
+    this.rentalOrders = new RentalOrders({
+      ...dependencies,
+      recordCreator,
+      machineTypes: this.machineTypes,
+      refusals,
+    });
     this.machineReturns = new MachineReturns({ ...dependencies, unregisteredMachines, returnedMachines });
     this.listReader = new MachineListReader({
       ...dependencies,
--- a/src/autoscaling/rental-orders.ts
+++ b/src/autoscaling/rental-orders.ts
@@ -2,7 +2,7 @@
 import { keys, prefixes } from "../state/keys.js";
 import type { Condition } from "../wire/index.js";
 import type { AutoscalerDependencies } from "./autoscaler-dependencies.js";
-import { machineGroupWrites } from "./machine-group-writes.js";
+import type { MachineRecordCreator, NewMachines } from "./machine-record-creator.js";
 import type { MachineTypeCache } from "./machine-type-cache.js";
 import type { PoolRefusals } from "./pool-refusals.js";
 import { decodeRentalOrder, toRentalOrderRecord, type RentalOrderRecord } from "./rental-order-record.js";
@@ -14,8 +14,9 @@
 /** Dependencies of rental orders. */
 export interface RentalOrdersDependencies extends Pick<
   AutoscalerDependencies,
-  "settings" | "cloud" | "state" | "view" | "fleet" | "clock" | "log"
+  "cloud" | "state" | "view" | "clock" | "log"
 > {
+  readonly recordCreator: MachineRecordCreator;
   readonly machineTypes: MachineTypeCache;
   readonly refusals: PoolRefusals;
 }
@@ -93,21 +94,21 @@
     else refusals.recordRefusal(order, machineTypes.recordedBootMs(order.type) ?? DEFAULT_BOOT_MS, clock());
   }
 
+  /** Records the machines rented. If that fails, the order remains recorded, and a later pass resumes it. */
   private async recordMachines(
     leaderCondition: Condition,
     { name, version, record }: RecordedOrder,
     hosts: string[],
   ): Promise<void> {
-    const { settings, state, fleet } = this.dependencies;
+    const { recordCreator } = this.dependencies;
     const { type, zone, spot, parts } = record;
-    const newHosts = hosts.filter((host) => fleet.get(host) === undefined);
-    const groups = parts.flatMap(({ shard, count }) =>
-      machineGroupWrites(newHosts.splice(0, count), { shard, type, zone, spot }, settings.state.valueBytes),
-    );
+    const newHosts = hosts.filter((host) => !recordCreator.isRecorded(host));
+    const machines: NewMachines[] = parts.map(({ shard, count }) => ({
+      attributes: { shard, type, zone, spot },
+      hosts: newHosts.splice(0, count),
+    }));
     // The order's record must be unchanged, so that a delayed copy of this write cannot restore removed machines.
     const conditions = [leaderCondition, { key: keys.rentalOrder(name), version }];
-    // Machines that exceed the transaction limit are not recorded here; they are registered by their heartbeats.
-    const writes = [...groups.slice(0, state.maxTransactionWrites - 1), { remove: keys.rentalOrder(name) }];
-    await state.compareAndSwap(conditions, writes, "ownership");
+    await recordCreator.create(machines, { conditions, writes: [{ remove: keys.rentalOrder(name) }] });
   }
 }
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -47,7 +47,7 @@
    */
   machineGroup: (name: string) => `${LIVE_PREFIX}machines/${name}`,
   /**
-   * Written by the leader in each transaction that registers machines without a rental order, so that only one of two
+   * Written by the leader in each transaction that creates the first record of machines, so that only one of two
    * concurrent transactions can succeed; never removed.
    */
   machineRegistration: `${LIVE_PREFIX}registration`,
--- a/test/support/simulation.ts
+++ b/test/support/simulation.ts
@@ -105,6 +105,10 @@
   delayedTransactionShare = 0;
   /** The mean latency of the state service. */
   stateLatencyMs = 4;
+  /** The latency of the cloud. */
+  cloudLatencyMs = 200;
+  /** How long the network holds the response to an order that rents machines; a repeated order is answered at once. */
+  rentalResponseDelayMs: () => number = () => 0;
   /** The longest delay of a response to a worker. */
   maxResponseDelayMs = 0;
   /** A zone that is cut off from the other zone and from the state service. */
@@ -238,10 +242,7 @@
       cloud: this.jsonClient(
         instance,
         (direction) => isOpen(node.cut.cloud, direction),
-        async (method, path, body) => {
-          await sleep(200);
-          return this.cloud.handle(method, new URL(path, "http://cloud"), body);
-        },
+        (method, path, body) => this.callCloud(method, path, body),
       ),
       peers: this.peerNetworkOf(node, instance),
     };
@@ -359,6 +360,14 @@
     return new Promise(() => undefined);
   }
 
+  private async callCloud(method: string, path: string, body: unknown): Reply {
+    await sleep(this.cloudLatencyMs);
+    const { rentedCount } = this.cloud;
+    const reply = this.cloud.handle(method, new URL(path, "http://cloud"), body);
+    if (this.cloud.rentedCount > rentedCount) await sleep(this.rentalResponseDelayMs());
+    return reply;
+  }
+
   private peerNetworkOf(node: SimulatedNode, instance: Partial<ControllerInstance>): PeerNetwork {
     const network: PeerNetwork & { lastResponseAt: number } = {
       lastResponseAt: -Infinity,
