Read a machine that two records name the same way in any order

Cause: of two records that name one machine, the one that happened to be read last counted, for the fleet and for the shard's machine table. Where that was the one still "booting", the owner took the machine for one that had never been sent a start. The removal of the last read one also removed the machine with its tasks, although the other one still named it.

Change: MachineGroupIndex keeps all groups that name a machine; the one in which it is in the latest stage counts, then the one with the first key. A machine leaves the table only with the last record that names it. The index replaces the bookkeeping that Fleet and MachineTable each had.

The trace takeover-with-a-machine-in-two-records fails with the sources before: both jobs start on another machine at its first heartbeat, while the first runs elsewhere, and the heartbeats of that machine are ignored after the removal of one of its records. Now nothing starts before the proof.

--- a/src/shards/machine-table.ts
+++ b/src/shards/machine-table.ts
@@ -5,12 +5,8 @@
 import type { Logger } from "../runtime/log.js";
 import type { ReplicaView } from "../state/replica.js";
 import type { RecordChange } from "../wire/index.js";
-import {
-  machineRecordFrom,
-  decodeMachineGroup,
-  type MachineGroup,
-  type MachineRecord,
-} from "../workers/machine-records.js";
+import { MachineGroupIndex } from "../workers/machine-group-index.js";
+import { decodeMachineGroup, type MachineRecord } from "../workers/machine-records.js";
 
 /**
  * Number of removed machines that are remembered, to recognise delayed duplicates of their heartbeats. Exceeds the
@@ -19,8 +15,6 @@
  */
 const REMEMBERED_REMOVED_MACHINES = 10_000;
 
-const NO_HOSTS: ReadonlySet<string> = new Set();
-
 /** Epoch and sequence number of a machine's last heartbeat. */
 interface HeartbeatPosition {
   epoch: number;
@@ -38,8 +32,8 @@
 /** The machines of one shard. */
 export class MachineTable {
   readonly byHost = new Map<string, Machine>();
-  /** Hosts of this shard, by the key of their group's record. */
-  private readonly hostsByGroup = new Map<string, Set<string>>();
+  /** The groups of this shard. */
+  private readonly groups = new MachineGroupIndex();
   private readonly removed = new LRUCache<string, HeartbeatPosition>({ max: REMEMBERED_REMOVED_MACHINES });
 
   constructor(private readonly dependencies: MachineTableDependencies) {}
@@ -51,51 +45,34 @@
   }
 
   /** Applies a changed record of a machine group. */
-  applyGroup({ key, value }: RecordChange, now: number): void {
+  applyGroup({ key, value, version }: RecordChange, now: number): void {
     const group = value === undefined ? null : decodeMachineGroup(value);
     // An unreadable record proves nothing: the placements on its machines still count.
     if (group === null && value !== undefined) {
       this.dependencies.log.error({ key }, "unreadable machine group record; keeping the last known state");
       return;
     }
-    const formerHosts = this.hostsByGroup.get(key);
-    const hosts = this.applyHosts(key, group, now);
-    if (formerHosts !== undefined) this.removeFormerHosts(key, formerHosts, hosts, now);
+    const isInShard = group?.shard === this.dependencies.shard;
+    const hosts = isInShard ? this.groups.put(key, { version, group }) : this.groups.delete(key);
+    for (const host of hosts) this.updateMachine(host, now);
   }
 
   /** Removes the groups that a complete read of the records does not contain. */
   removeMissingGroups(view: ReplicaView, now: number): void {
-    for (const key of [...this.hostsByGroup.keys()])
+    for (const key of [...this.groups.keys()])
       if (view.get(key) === undefined) this.applyGroup({ key, value: undefined, version: 0 }, now);
   }
 
-  /** Adds and updates the machines of a group if it belongs to this shard, and returns their hosts. */
-  private applyHosts(key: string, group: MachineGroup | null, now: number): ReadonlySet<string> {
-    if (group?.shard !== this.dependencies.shard) {
-      this.hostsByGroup.delete(key);
-      return NO_HOSTS;
-    }
-    const hosts = new Set(Object.keys(group.machines));
-    if (hosts.size > 0) this.hostsByGroup.set(key, hosts);
-    else this.hostsByGroup.delete(key);
-    for (const host of hosts) {
-      const record = machineRecordFrom(key, group, host);
-      const machine = this.byHost.get(host);
-      if (machine) machine.record = record;
-      else this.byHost.set(host, this.createMachine(host, record, now));
+  /** Adds, updates or removes a machine so that it matches the groups of the shard. */
+  private updateMachine(host: string, now: number): void {
+    const record = this.groups.recordOf(host);
+    if (record === undefined) {
+      this.remove(host, now);
+      return;
     }
-    return hosts;
-  }
-
-  /** Removes the machines that are no longer in the group, unless they are now in another group. */
-  private removeFormerHosts(
-    key: string,
-    formerHosts: ReadonlySet<string>,
-    hosts: ReadonlySet<string>,
-    now: number,
-  ): void {
-    for (const host of formerHosts)
-      if (!hosts.has(host) && this.byHost.get(host)?.record.groupKey === key) this.remove(host, now);
+    const machine = this.byHost.get(host);
+    if (machine) machine.record = record;
+    else this.byHost.set(host, this.createMachine(host, record, now));
   }
 
   private createMachine(host: string, record: MachineRecord, now: number): Machine {
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -3,20 +3,8 @@
 import { keys, prefixes } from "../state/keys.js";
 import type { ReplicaView } from "../state/replica.js";
 import type { RecordChange, Condition, Write } from "../wire/index.js";
-import {
-  machineRecordFrom,
-  decodeMachineGroup,
-  type MachineGroup,
-  type MachineRecord,
-  type MachineStage,
-} from "./machine-records.js";
-
-/** A machine group as last read from its record. */
-interface KnownGroup {
-  /** The version of the record. */
-  version: number;
-  group: MachineGroup;
-}
+import { MachineGroupIndex } from "./machine-group-index.js";
+import { decodeMachineGroup, type MachineRecord, type MachineStage } from "./machine-records.js";
 
 /** A conditional change of machine group records, and the machines that it affects. */
 export interface FleetChange {
@@ -29,7 +17,7 @@
 
 /** All rented machines, as recorded in the state store. */
 export class Fleet {
-  private readonly groups = new Map<string, KnownGroup>();
+  private readonly groups = new MachineGroupIndex();
   private readonly machines = new Map<string, MachineRecord>();
 
   constructor(private readonly log: Logger) {}
@@ -52,7 +40,7 @@
   /** Applies changed records. `changes` is null if any record may have changed: all of them are then read again. */
   applyChanges(view: ReplicaView, changes: RecordChange[] | null): void {
     if (changes === null) {
-      for (const key of this.groups.keys()) if (view.get(key) === undefined) this.dropGroup(key);
+      for (const key of [...this.groups.keys()]) if (view.get(key) === undefined) this.dropGroup(key);
       changes = view.list(prefixes.machineGroups);
     }
     for (const change of changes) if (change.key.startsWith(prefixes.machineGroups)) this.applyGroup(change);
@@ -69,18 +57,19 @@
       this.log.error({ key: change.key }, "unreadable machine group record; keeping the last known state");
       return;
     }
-    this.dropGroup(change.key);
-    this.groups.set(change.key, { version: change.version, group });
-    for (const host of Object.keys(group.machines))
-      this.machines.set(host, machineRecordFrom(change.key, group, host));
+    this.updateMachines(this.groups.put(change.key, { version: change.version, group }));
   }
 
   private dropGroup(key: string): void {
-    const known = this.groups.get(key);
-    if (known === undefined) return;
-    this.groups.delete(key);
-    for (const host of Object.keys(known.group.machines))
-      if (this.machines.get(host)?.groupKey === key) this.machines.delete(host);
+    this.updateMachines(this.groups.delete(key));
+  }
+
+  private updateMachines(hosts: Iterable<string>): void {
+    for (const host of hosts) {
+      const record = this.groups.recordOf(host);
+      if (record === undefined) this.machines.delete(host);
+      else this.machines.set(host, record);
+    }
   }
 
   /**
--- a/src/workers/machine-records.ts
+++ b/src/workers/machine-records.ts
@@ -32,6 +32,13 @@
   hasReported: boolean;
 }
 
+/** How far each stage is in a machine's life cycle. */
+const STAGE_ORDER: Record<MachineStage, number> = { booting: 0, up: 1, leaving: 2 };
+
+/** Whether `stage` comes later in a machine's life cycle than `other`. */
+export const isLaterStage = (stage: MachineStage, other: MachineStage): boolean =>
+  STAGE_ORDER[stage] > STAGE_ORDER[other];
+
 /** Decodes a machine group; null if the value is malformed. Unknown fields are dropped. */
 export const decodeMachineGroup = (value: unknown): MachineGroup | null =>
   groupSchema.safeParse(value).data ?? null;
--- a/test/shard.test.ts
+++ b/test/shard.test.ts
@@ -137,7 +137,8 @@
     const zone = event.options.get("zone") ?? "north";
     const stage = event.options.has("booting") ? "booting" : "up";
     const group = machineGroup(numberOption(event, "shard", 0), zone, { [host]: stage });
-    return this.apply(this.view.put(keys.machineGroup(host), group, ++this.version));
+    const name = event.options.get("group") ?? host;
+    return this.apply(this.view.put(keys.machineGroup(name), group, ++this.version));
   }
 
   private takeOver(): string[] {
