Drain, change and remove a machine only for the shard it belongs to

Cause: a machine in records of two shards is in the tables of two owners. The one that gets no heartbeat from it reports it as booting, the leader selected it for that shard by its age alone, and the owner's writes went to whichever record the fleet held. The leader removed one record after the return, and the other one went on showing a machine that does not exist.

Change: the leader drains a machine only for the shard that the counting record names; an owner changes the stage of machines of its own shard only; after the cloud's 200 all records that name a machine are removed in one transaction; a machine in several records is not transferred. Fleet.changeStage is split by its two uses into changeStage (an owner's) and removeMachines (the leader's).

--- a/src/autoscaling/machine-returns.ts
+++ b/src/autoscaling/machine-returns.ts
@@ -27,12 +27,12 @@
   async returnDrained(leaderCondition: Condition): Promise<boolean> {
     const { cloud, state, fleet, log } = this.dependencies;
     // Limited to what one transaction can remove from the records: any others would be returned again in every pass.
-    const { hosts } = fleet.changeStage(this.drainedHosts(), null, state.maxTransactionWrites);
+    const { hosts } = fleet.removeMachines(this.drainedHosts(), state.maxTransactionWrites);
     if (hosts.length === 0 || !cloud.tryAcquireCall()) return false;
     await cloud.returnMachines(hosts);
     this.recordReturn(hosts);
     log.info({ hosts }, "machines returned");
-    const { conditions, writes } = fleet.changeStage(hosts, null, state.maxTransactionWrites);
+    const { conditions, writes } = fleet.removeMachines(hosts, state.maxTransactionWrites);
     // Machines whose records changed meanwhile are returned again by a later pass, which is harmless, and removed then.
     await state.compareAndSwap([leaderCondition, ...conditions], writes, "ownership");
     return true;
--- a/src/autoscaling/removal-selection.ts
+++ b/src/autoscaling/removal-selection.ts
@@ -31,7 +31,8 @@
     const hosts = summary.machines
       .filter((reported) => {
         const machine = machinesByHost.get(reported.host);
-        if (machine === undefined || machine.isDraining) return false;
+        // Another shard's tasks may run on a machine that this shard's records name as well.
+        if (machine?.shard !== shard || machine.isDraining) return false;
         return isRemovable(reported, machine, isOwnerCutOffFromWorkers, view, types);
       })
       .map(({ host }) => host);
--- a/src/shards/machine-recorder.ts
+++ b/src/shards/machine-recorder.ts
@@ -37,7 +37,7 @@
     this.lastAttemptAt = now;
     const hosts = shard.unrecordedHosts();
     if (hosts.length === 0) return;
-    const { conditions, writes } = fleet.changeStage(hosts, "up", state.maxTransactionWrites);
+    const { conditions, writes } = fleet.changeStage(shard.id, hosts, "up", state.maxTransactionWrites);
     if (writes.length === 0) return;
     this.isWritePending = true;
     state
--- a/src/shards/machine-removal.ts
+++ b/src/shards/machine-removal.ts
@@ -53,10 +53,10 @@
   }
 
   private planChange(request: RemovalRequest, hosts: string[]): FleetChange {
-    const { fleet, state } = this.dependencies;
+    const { shard, fleet, state } = this.dependencies;
     switch (request.reason) {
       case "drain":
-        return fleet.changeStage(hosts, "leaving", state.maxTransactionWrites);
+        return fleet.changeStage(shard.id, hosts, "leaving", state.maxTransactionWrites);
       case "transfer":
         return fleet.transferToShard(
           hosts,
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -73,28 +73,25 @@
   }
 
   /**
-   * Builds the writes that change the stage of machines, or that remove them from their records if `stage` is null:
-   * one write for each group, conditional on the group being unchanged. Groups beyond `maxWrites` writes are left out.
+   * Builds the writes that change the stage of machines: one for each group, conditional on the group being unchanged.
+   * Left out are groups beyond `maxWrites`, and machines that belong to another shard.
    */
-  changeStage(hosts: string[], stage: MachineStage | null, maxWrites: number): FleetChange {
-    const change: FleetChange = { conditions: [], writes: [], hosts: [] };
-    for (const [key, members] of this.hostsByGroup(hosts)) {
-      if (change.writes.length >= maxWrites) break;
-      const { version, group } = this.groups.get(key)!;
-      const others = Object.entries(group.machines).filter(([host]) => !members.includes(host));
-      const changed = stage === null ? [] : members.map((host) => [host, stage] as const);
-      const machines = Object.fromEntries([...others, ...changed]);
-      change.conditions.push({ key, version });
-      const isEmpty = Object.keys(machines).length === 0;
-      change.writes.push(isEmpty ? { remove: key } : { put: key, value: { ...group, machines } });
-      change.hosts.push(...members);
-    }
-    return change;
+  changeStage(shard: number, hosts: string[], stage: MachineStage, maxWrites: number): FleetChange {
+    const ofShard = hosts.filter((host) => this.get(host)?.shard === shard);
+    return this.rewriteGroups(ofShard, stage, (host) => [this.machines.get(host)!.groupKey], maxWrites);
+  }
+
+  /**
+   * Builds the writes that remove machines that no longer exist from all records that name them, each conditional on
+   * the group being unchanged. Machines whose groups exceed `maxWrites` writes are left out.
+   */
+  removeMachines(hosts: string[], maxWrites: number): FleetChange {
+    return this.rewriteGroups(hosts, null, (host) => this.groups.keysOf(host), maxWrites);
   }
 
   /**
-   * Builds the writes that transfer machines to another shard, by moving them from their groups to new ones. Groups
-   * beyond `maxWrites` writes are left out.
+   * Builds the writes that transfer machines to another shard, by moving them from their groups to new ones. Left out
+   * are groups beyond `maxWrites` writes, and machines that several records name.
    *
    * @param newGroupName returns a group name that has never been used before
    */
@@ -105,28 +102,66 @@
     maxWrites: number,
   ): FleetChange {
     const change: FleetChange = { conditions: [], writes: [], hosts: [] };
-    for (const [key, members] of this.hostsByGroup(hosts)) {
-      if (change.writes.length + 2 > maxWrites) break;
-      const removal = this.changeStage(members, null, 1);
+    const inOneGroup = hosts.filter((host) => this.groups.keysOf(host).length === 1);
+    const { membersByGroup } = selectMembers(inOneGroup, (host) => this.groups.keysOf(host), maxWrites / 2);
+    for (const [key, members] of membersByGroup) {
       const { group } = this.groups.get(key)!;
       const machines = Object.fromEntries(members.map((host) => [host, group.machines[host]!]));
       const newKey = keys.machineGroup(newGroupName());
-      change.conditions.push(...removal.conditions, { key: newKey, version: 0 });
-      change.writes.push(...removal.writes, { put: newKey, value: { ...group, shard, machines } });
+      change.conditions.push(this.unchanged(key), { key: newKey, version: 0 });
+      change.writes.push(this.rewriteGroup(key, members, null), {
+        put: newKey,
+        value: { ...group, shard, machines },
+      });
       change.hosts.push(...members);
     }
     return change;
   }
 
-  private hostsByGroup(hosts: string[]): Map<string, string[]> {
-    const groups = new Map<string, string[]>();
-    for (const host of hosts) {
-      const key = this.machines.get(host)?.groupKey;
-      if (key === undefined) continue;
-      const members = groups.get(key);
-      if (members) members.push(host);
-      else groups.set(key, [host]);
-    }
-    return groups;
+  /** Builds the writes that change the stage of machines in some of their groups; null removes them from these. */
+  private rewriteGroups(
+    hosts: string[],
+    stage: MachineStage | null,
+    keysOf: (host: string) => readonly string[],
+    maxWrites: number,
+  ): FleetChange {
+    const selected = selectMembers(hosts, keysOf, maxWrites);
+    const groups = [...selected.membersByGroup];
+    return {
+      conditions: groups.map(([key]) => this.unchanged(key)),
+      writes: groups.map(([key, members]) => this.rewriteGroup(key, members, stage)),
+      hosts: selected.hosts,
+    };
+  }
+
+  private unchanged(key: string): Condition {
+    return { key, version: this.groups.get(key)!.version };
+  }
+
+  private rewriteGroup(key: string, members: string[], stage: MachineStage | null): Write {
+    const { group } = this.groups.get(key)!;
+    const others = Object.entries(group.machines).filter(([host]) => !members.includes(host));
+    const changed = stage === null ? [] : members.map((host) => [host, stage] as const);
+    const machines = Object.fromEntries([...others, ...changed]);
+    const isEmpty = Object.keys(machines).length === 0;
+    return isEmpty ? { remove: key } : { put: key, value: { ...group, machines } };
+  }
+}
+
+/** Selects the machines whose groups are among the first `maxGroups`, and groups them by these. */
+function selectMembers(
+  hosts: string[],
+  keysOf: (host: string) => readonly string[],
+  maxGroups: number,
+): { hosts: string[]; membersByGroup: Map<string, string[]> } {
+  const membersByGroup = new Map<string, string[]>();
+  const selected: string[] = [];
+  for (const host of hosts) {
+    const groupKeys = keysOf(host);
+    const added = groupKeys.filter((key) => !membersByGroup.has(key));
+    if (groupKeys.length === 0 || membersByGroup.size + added.length > maxGroups) continue;
+    for (const key of groupKeys) membersByGroup.set(key, [...(membersByGroup.get(key) ?? []), host]);
+    selected.push(host);
   }
+  return { hosts: selected, membersByGroup };
 }
--- a/test/autoscaling.test.ts
+++ b/test/autoscaling.test.ts
@@ -9,8 +9,10 @@
 import { poolKey } from "../src/cloud/instance-pool.js";
 import type { Demand, MachineCondition, MachineSummary, ShardSummary } from "../src/peers/peer-messages.js";
 import { createLogger } from "../src/runtime/log.js";
-import type { ListedMachine } from "../src/wire/index.js";
+import { keys } from "../src/state/keys.js";
+import type { ListedMachine, RecordChange } from "../src/wire/index.js";
 import { Fleet } from "../src/workers/fleet.js";
+import type { MachineStage } from "../src/workers/machine-records.js";
 import { smallType } from "./support/records.js";
 import { numberOption, traceTests, type TraceStep, type TraceEvent } from "./support/trace.js";
 
@@ -240,26 +242,30 @@
   });
 });
 
+/** A record change of a machine group of the small type, at the given version. */
+const machineGroupChange = (
+  name: string,
+  version: number,
+  shard: number,
+  machines: Record<string, MachineStage>,
+): RecordChange => ({
+  key: keys.machineGroup(name),
+  version,
+  value: { shard, type: "small", zone: "north", spot: false, since: 0, machines },
+});
+
 void describe("workers/fleet", () => {
   test("a stage change of many machines is limited to the groups that fit into one transaction", () => {
     const fleet = new Fleet(createLogger("test"));
-    const groups = Array.from({ length: 20 }, (_, group) => ({
-      key: `fernpond/live/machines/g-${group}`,
-      version: group + 1,
-      value: {
-        shard: 0,
-        type: "small",
-        zone: "north",
-        spot: false,
-        since: 0,
-        machines: Object.fromEntries([0, 1, 2, 3, 4].map((member) => [`i-${group * 5 + member}`, "leaving"])),
-      },
-    }));
+    const groups = Array.from({ length: 20 }, (_, group) => {
+      const hosts = [0, 1, 2, 3, 4].map((member) => [`i-${group * 5 + member}`, "leaving"] as const);
+      return machineGroupChange(`g-${group}`, group + 1, 0, Object.fromEntries(hosts));
+    });
     const view = { revision: 20, completeAsOf: 0, get: () => undefined, list: () => [] };
     fleet.applyChanges(view, groups);
     const allHosts = [...fleet.all()].map(([host]) => host);
     assert.equal(allHosts.length, 100);
-    const { conditions, writes, hosts } = fleet.changeStage(allHosts, null, 8);
+    const { conditions, writes, hosts } = fleet.removeMachines(allHosts, 8);
     assert.deepEqual([conditions.length, writes.length, hosts.length], [8, 8, 40]);
     // After their removal, the next call removes other machines.
     const removals = writes.map((write) => ({
@@ -268,9 +274,8 @@
       version: 99,
     }));
     fleet.applyChanges(view, removals);
-    const remaining = fleet.changeStage(
+    const remaining = fleet.removeMachines(
       allHosts.filter((host) => fleet.get(host) !== undefined),
-      null,
       8,
     );
     assert.equal(remaining.hosts.length, 40);
@@ -279,4 +284,29 @@
       false,
     );
   });
+
+  // Guards against a record of a machine that was returned, and against an owner that changes another shard's record.
+  test("of a machine in records of two shards, one shard's is changed, and the return removes both", () => {
+    const fleet = new Fleet(createLogger("test"));
+    const view = { revision: 3, completeAsOf: 0, get: () => undefined, list: () => [] };
+    fleet.applyChanges(view, [
+      machineGroupChange("g-1", 2, 0, { "i-1": "up", "i-2": "up" }),
+      machineGroupChange("g-2", 3, 1, { "i-1": "booting" }),
+    ]);
+    assert.equal(fleet.get("i-1")?.shard, 0);
+    assert.deepEqual(fleet.changeStage(1, ["i-1"], "leaving", 8).writes, []);
+    assert.deepEqual(fleet.changeStage(0, ["i-1"], "leaving", 8).conditions, [
+      { key: keys.machineGroup("g-1"), version: 2 },
+    ]);
+    assert.deepEqual(fleet.transferToShard(["i-1"], 2, () => "g-3", 8).writes, []);
+    const { conditions, writes, hosts } = fleet.removeMachines(["i-1"], 8);
+    assert.deepEqual(hosts, ["i-1"]);
+    assert.deepEqual(
+      conditions.map(({ key }) => key),
+      [keys.machineGroup("g-1"), keys.machineGroup("g-2")],
+    );
+    assert.deepEqual(writes[1], { remove: keys.machineGroup("g-2") });
+    // Both records or none: one that is left would show a machine that does not exist.
+    assert.deepEqual(fleet.removeMachines(["i-1"], 1).writes, []);
+  });
 });
--- a/test/support/record-writers.ts
+++ b/test/support/record-writers.ts
@@ -342,11 +342,11 @@
   await state.seedRecords({ put: keys.machineGroup("group-1"), value: { ...group, machines } });
   const fleet = new Fleet(silentLogger);
   const steps = [
-    () => fleet.changeStage(["i-1", "i-2"], "up", 8),
-    () => fleet.changeStage(["i-1"], "leaving", 8),
+    () => fleet.changeStage(0, ["i-1", "i-2"], "up", 8),
+    () => fleet.changeStage(0, ["i-1"], "leaving", 8),
     () => fleet.transferToShard(["i-2"], 1, () => "group-2", 8),
-    () => fleet.changeStage(["i-1"], null, 8),
-    () => fleet.changeStage(["i-3"], null, 8),
+    () => fleet.removeMachines(["i-1"], 8),
+    () => fleet.removeMachines(["i-3"], 8),
   ];
   for (const step of steps) {
     fleet.applyChanges(state.view, null);
