Bring machines that several records name back to one record

A shard whose records name another shard's machine counts on capacity that never comes.

Cause: nothing ever compared two records of one machine. Since no new ones are created, these are the records of the build before, after an upgrade.

Change: each shard's owner removes its shard's records of machines for which another record counts, on the condition of its token, of the record removed and of the one that counts. If that one is another shard's, the owner waits for proof that nothing which an owner of this shard has started is on the machine: never reported, empty, or its lease certainly over. The other owner's responses stop this shard's tasks with the renewal of the lease, so the end of the lease proves it too. The machine keeps its tasks, and who returns it is settled.

--- a/src/shards/removal-candidates.ts
+++ b/src/shards/removal-candidates.ts
@@ -38,6 +38,15 @@
   return [...machines].filter(isUnrecorded).map(({ host }) => host);
 }
 
+/**
+ * Whether certainly no task that any owner of the shard has started is on the machine. A response of another shard's
+ * owner that renews the worker's lease also stops the tasks of this shard, so the end of the lease is proof even then.
+ */
+export function isProvenUnused(machine: Machine): boolean {
+  if (machine.isUnreconciled || machine.placements.size > 0) return false;
+  return machine.leaseExpiredAt !== null || machine.isEmpty;
+}
+
 function isIdle(machine: Machine): boolean {
   return machine.isHealthy && machine.isEmpty && machine.emptyHeartbeats >= MIN_EMPTY_HEARTBEATS;
 }
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -25,6 +25,7 @@
   beginRemoval,
   cancelRemoval,
   findUnrecordedHosts,
+  isProvenUnused,
   type RemovalReason,
 } from "./removal-candidates.js";
 import type { TaskCounts } from "./shard-owner-messages.js";
@@ -171,6 +172,12 @@
     return findUnrecordedHosts(this.machines.values());
   }
 
+  /** Whether certainly no task that this or an earlier owner of the shard has started is on a machine. */
+  isProvenUnused(host: string): boolean {
+    const machine = this.machines.get(host);
+    return machine !== undefined && isProvenUnused(machine);
+  }
+
   /** Selects the hosts that may be removed and stops further placement on them. */
   beginRemoval(hosts: string[], reason: RemovalReason): string[] {
     return beginRemoval(this.machines, hosts, reason);
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -15,10 +15,19 @@
   hosts: string[];
 }
 
+/** A machine that a shard's records name although another record counts for it. */
+export interface DuplicateRecord {
+  host: string;
+  /** The shard of the record that counts. */
+  countingShard: number;
+}
+
 /** All rented machines, as recorded in the state store. */
 export class Fleet {
   private readonly groups = new MachineGroupIndex();
   private readonly machines = new Map<string, MachineRecord>();
+  /** The machines that several records name. */
+  private readonly duplicateHosts = new Set<string>();
 
   constructor(private readonly log: Logger) {}
 
@@ -69,6 +78,8 @@
       const record = this.groups.recordOf(host);
       if (record === undefined) this.machines.delete(host);
       else this.machines.set(host, record);
+      if (this.groups.keysOf(host).length > 1) this.duplicateHosts.add(host);
+      else this.duplicateHosts.delete(host);
     }
   }
 
@@ -118,6 +129,33 @@
     return change;
   }
 
+  /** The machines that records of a shard name although another record counts for them. */
+  duplicatesIn(shard: number): DuplicateRecord[] {
+    return [...this.duplicateHosts]
+      .filter((host) => this.duplicateKeys(host, shard).length > 0)
+      .map((host) => ({ host, countingShard: this.machines.get(host)!.shard }));
+  }
+
+  /**
+   * Builds the writes that remove machines from those records of a shard that do not count for them, conditional on
+   * these and the records that count being unchanged. Machines beyond `maxWrites` writes are left out.
+   */
+  removeDuplicates(shard: number, hosts: string[], maxWrites: number): FleetChange {
+    // Each machine adds up to one condition besides those of the writes.
+    const limited = hosts.slice(0, maxWrites);
+    const change = this.rewriteGroups(limited, null, (host) => this.duplicateKeys(host, shard), maxWrites);
+    const conditionKeys = new Set(change.conditions.map(({ key }) => key));
+    for (const host of change.hosts) conditionKeys.add(this.machines.get(host)!.groupKey);
+    return { ...change, conditions: [...conditionKeys].map((key) => this.unchanged(key)) };
+  }
+
+  private duplicateKeys(host: string, shard: number): string[] {
+    const countingKey = this.machines.get(host)?.groupKey;
+    return this.groups
+      .keysOf(host)
+      .filter((key) => key !== countingKey && this.groups.get(key)!.group.shard === shard);
+  }
+
   /** Builds the writes that change the stage of machines in some of their groups; null removes them from these. */
   private rewriteGroups(
     hosts: string[],
--- a/test/shard.test.ts
+++ b/test/shard.test.ts
@@ -87,6 +87,7 @@
     },
     cordon: (targetShard, event) => this.cordon(Number(targetShard), event),
     drain: (_, { words }) => [`selected ${this.shard.beginRemoval(words, "drain").join(" ") || "none"}`],
+    unused: (host) => [this.shard.isProvenUnused(host) ? "proven" : "not proven"],
     write: () => this.write(),
     durable: () => {
       for (const completion of this.writtenCompletions) completion.onDurable();
