--- a/src/shards/machine-recorder.ts
+++ b/src/shards/machine-recorder.ts
@@ -1,9 +1,12 @@
-/** Records which machines of a shard have sent a heartbeat, before any task is placed on them. */
+/**
+ * Records which machines of a shard have sent a heartbeat, before any task is placed on them, and brings machines that
+ * several records name, as earlier versions could write them, back to one record.
+ */
 import type { SteadyClock } from "../runtime/clock.js";
 import type { Logger } from "../runtime/log.js";
 import { keys } from "../state/keys.js";
 import type { StateStoreClient } from "../state/state-store-client.js";
-import type { Fleet } from "../workers/fleet.js";
+import type { Fleet, FleetChange } from "../workers/fleet.js";
 import type { OwnerTerm } from "./owner-term.js";
 import type { Shard } from "./shard.js";
 
@@ -21,35 +24,69 @@
   readonly log: Logger;
 }
 
-/** Updates the records of machines that have sent a heartbeat, one write at a time. */
+/** Updates the machine records of a shard, one write at a time. */
 export class MachineRecorder {
   private isWritePending = false;
   private lastAttemptAt = -Infinity;
 
   constructor(private readonly dependencies: MachineRecorderDependencies) {}
 
-  /** Starts a write if machines whose records do not show it yet have sent a heartbeat, and no write is in progress. */
+  /**
+   * Starts a write if machines whose records do not show it yet have sent a heartbeat, or else if records are duplicates;
+   * does nothing while a write is in progress.
+   */
   record(): void {
-    const { shard, term, fleet, state, clock, minWriteIntervalMs } = this.dependencies;
+    const { shard, term, clock, minWriteIntervalMs, log } = this.dependencies;
     const token = term.currentToken();
     const now = clock();
     if (this.isWritePending || token === null || now - this.lastAttemptAt < minWriteIntervalMs) return;
     this.lastAttemptAt = now;
-    const hosts = shard.unrecordedHosts();
-    if (hosts.length === 0) return;
-    const { conditions, writes } = fleet.changeStage(shard.id, hosts, "up", state.maxTransactionWrites);
-    if (writes.length === 0) return;
-    this.isWritePending = true;
-    state
-      .compareAndSwap([{ key: keys.shard(shard.id), version: token }, ...conditions], writes, "background")
-      .catch((err: unknown) => {
-        this.dependencies.log.debug({ err }, "failed to write machine records");
-      })
-      .finally(this.dependencies.onWriteEnded);
+    const reported = this.planReported();
+    if (reported.writes.length > 0) {
+      void this.write(token, reported);
+      return;
+    }
+    const duplicates = this.planDuplicateRemoval();
+    if (duplicates.writes.length === 0) return;
+    log.info({ shard: shard.id, hosts: duplicates.hosts }, "removing duplicate machine records");
+    void this.write(token, duplicates);
   }
 
   /** Marks the last write as ended, so that the next one can start. */
   writeEnded(): void {
     this.isWritePending = false;
   }
+
+  private planReported(): FleetChange {
+    const { shard, fleet, state } = this.dependencies;
+    return fleet.changeStage(shard.id, shard.unrecordedHosts(), "up", state.maxTransactionWrites);
+  }
+
+  /**
+   * Removes the shard's records of machines for which another record counts. If that one belongs to another shard, this
+   * waits for proof that nothing started by this shard runs on the machine.
+   *
+   * A write that is applied late does no harm: it requires that the record that counts is unchanged, and as long as it
+   * is, heartbeats of the machine go to the owner that it names.
+   */
+  private planDuplicateRemoval(): FleetChange {
+    const { shard, fleet, state } = this.dependencies;
+    const removable = fleet
+      .duplicatesIn(shard.id)
+      .filter(({ host, countingShard }) => countingShard === shard.id || shard.isProvenUnused(host))
+      .map(({ host }) => host);
+    return fleet.removeDuplicates(shard.id, removable, state.maxTransactionWrites);
+  }
+
+  private async write(token: number, { conditions, writes }: FleetChange): Promise<void> {
+    const { shard, state, onWriteEnded, log } = this.dependencies;
+    const ownership = { key: keys.shard(shard.id), version: token };
+    this.isWritePending = true;
+    try {
+      await state.compareAndSwap([ownership, ...conditions], writes, "background");
+    } catch (err) {
+      log.debug({ err }, "failed to write machine records");
+    }
+    onWriteEnded();
+  }
 }
--- a/src/shards/shard-owner.ts
+++ b/src/shards/shard-owner.ts
@@ -7,7 +7,6 @@
 import type { StateStoreClient } from "../state/state-store-client.js";
 import type { Fleet } from "../workers/fleet.js";
 import { CompletionWriter } from "./completion-writer.js";
-import { DuplicateRecords } from "./duplicate-records.js";
 import { HeartbeatResponder } from "./heartbeat-responder.js";
 import { JobMigrator } from "./job-migrator.js";
 import { MachineRecorder } from "./machine-recorder.js";
@@ -50,7 +49,6 @@
   private readonly term: ShardTerm;
   private readonly rounds: RoundThrottle;
   private readonly machineRecorder: MachineRecorder;
-  private readonly duplicateRecords: DuplicateRecords;
   private readonly completionWriter: CompletionWriter;
   private readonly removal: MachineRemoval;
   private readonly migrator: JobMigrator;
@@ -74,7 +72,6 @@
       minWriteIntervalMs: minIntervalMs / FREQUENT_WRITE_FACTOR,
       onWriteEnded: () => void this.tell({ kind: "machines_recorded" }),
     });
-    this.duplicateRecords = new DuplicateRecords({ ...common, minWriteIntervalMs: minIntervalMs });
     this.completionWriter = new CompletionWriter({
       ...common,
       minWriteIntervalMs: minIntervalMs / FREQUENT_WRITE_FACTOR,
@@ -165,7 +162,6 @@
     if (token === null) return;
     if (this.shard.areAttemptsNearlyExhausted) this.callbacks.advanceToken();
     this.machineRecorder.record();
-    this.duplicateRecords.remove();
     this.shard.drainInterrupted();
     if (this.callbacks.canPlaceTasks()) {
       this.rounds.place(token);
