Assume one boot time for unknown machine types

Refused pools of an unrecorded type waited as if it booted in 30 s, all other decisions assume 60 s. One constant; no recorded type is concerned.

--- a/src/autoscaling/rental-orders.ts
+++ b/src/autoscaling/rental-orders.ts
@@ -7,9 +7,7 @@
 import type { PoolRefusals } from "./pool-refusals.js";
 import { decodeRentalOrder, toRentalOrderRecord, type RentalOrderRecord } from "./rental-order-record.js";
 import type { RentalPlan } from "./rental-plan.js";
-
-/** The typical boot time assumed for a machine type that is not recorded. */
-const DEFAULT_BOOT_MS = 30_000;
+import { DEFAULT_BOOT_S } from "./scaling-view.js";
 
 /** Dependencies of rental orders. */
 export interface RentalOrdersDependencies extends Pick<
@@ -91,7 +89,12 @@
   private recordOutcome(order: RentalOrderRecord, rentedCount: number): void {
     const { refusals, machineTypes, clock } = this.dependencies;
     if (rentedCount >= order.count) refusals.recordSuccess(order);
-    else refusals.recordRefusal(order, machineTypes.recordedBootMs(order.type) ?? DEFAULT_BOOT_MS, clock());
+    else
+      refusals.recordRefusal(
+        order,
+        machineTypes.recordedBootMs(order.type) ?? DEFAULT_BOOT_S * 1000,
+        clock(),
+      );
   }
 
   /** Records the machines rented. If that fails, the order remains recorded, and a later pass resumes it. */
--- a/src/autoscaling/scaling-view.ts
+++ b/src/autoscaling/scaling-view.ts
@@ -29,7 +29,7 @@
 export type MachineTypes = ReadonlyMap<string, MachineType>;
 
 /** The typical boot time assumed for a machine of unknown type. */
-const DEFAULT_BOOT_S = 60;
+export const DEFAULT_BOOT_S = 60;
 
 /** The typical boot time of a machine's type, in milliseconds. */
 export function typicalBootMs(machine: RentedMachine, types: MachineTypes): number {
