--- a/src/autoscaling/machine-record-creator.ts
+++ b/src/autoscaling/machine-record-creator.ts
@@ -52,13 +52,13 @@
    * Records those of the machines that have no record, in one transaction with the accompanying changes. Machines that
    * exceed the transaction limit are left out; they are registered by their heartbeats.
    *
-   * Guards against `ran_twice`: a machine in two records is started and waited for by whichever is read. The version of
-   * the registration record is the one that `isRecorded` is based on, and every creation changes it.
+   * Guards against `ran_twice`: of a machine in two records, only one shows that it has reported, and an owner that goes
+   * by the other does not wait for its tasks. The version required of the registration record is that on which
+   * `isRecorded` is based, and every creation changes it. If the records have changed meanwhile, nothing is written.
    *
-   * @returns whether the transaction was applied; if not, the records have changed since they were last read
    * @throws {StateStoreError} if the state store returns no usable response
    */
-  async create(machines: NewMachines[], accompanying: AccompanyingChanges): Promise<boolean> {
+  async create(machines: NewMachines[], accompanying: AccompanyingChanges): Promise<void> {
     const { state, log } = this.dependencies;
     const groups = this.newGroups(machines).slice(
       0,
@@ -75,7 +75,6 @@
     const result = await state.compareAndSwap(conditions, writes, "ownership");
     if (result.ok) this.remember(hosts, result.revision);
     else log.info({ hosts, failedKeys: result.failedKeys }, "machines not recorded: records have changed");
-    return result.ok;
   }
 
   private newGroups(machines: NewMachines[]): NewGroup[] {
--- a/src/shards/machine-recorder.ts
+++ b/src/shards/machine-recorder.ts
@@ -32,8 +32,8 @@
   constructor(private readonly dependencies: MachineRecorderDependencies) {}
 
   /**
-   * Starts a write if machines whose records do not show it yet have sent a heartbeat, or else if records are duplicates;
-   * does nothing while a write is in progress.
+   * Starts a write if machines whose records do not show it yet have sent a heartbeat, or else if the shard has duplicate
+   * records. Does nothing while a write is in progress.
    */
   record(): void {
     const { shard, term, clock, minWriteIntervalMs, log } = this.dependencies;
