--- a/test/support/rental-schedules.ts
+++ b/test/support/rental-schedules.ts
@@ -13,7 +13,7 @@
 const chance = (simulation: Simulation, share: number): boolean => simulation.randomFraction() < share;
 
 /** Draws how the cloud, its machines and the state service behave for a whole run. */
-export function drawEnvironment(simulation: Simulation): void {
+function drawEnvironment(simulation: Simulation): void {
   simulation.cloudLatencyMs = chance(simulation, 0.7) ? 2 : 250;
   simulation.stateLatencyMs = chance(simulation, 0.5) ? 4 : 60;
   simulation.workers.bootMs = 300 + simulation.randomBelow(1500);
