--- a/test/machine-records.test.ts
+++ b/test/machine-records.test.ts
@@ -7,6 +7,7 @@
 import { Simulation } from "./support/simulation.js";
 import { TEAMS } from "./support/workload.js";
 
+const CONTROLLERS = 3;
 /** Longer than a controller waits for the cloud's response. */
 const HELD_RESPONSE_MS = 4200;
 
@@ -20,7 +21,7 @@
 
 // Guards against `ran_twice` after a change of owner: a machine recorded both for its order and by its heartbeats.
 test("a machine that reports before its rental order is answered is recorded once", async () => {
-  const simulation = Simulation.start(3, 1, { teams: TEAMS });
+  const simulation = Simulation.start(CONTROLLERS, 1, { teams: TEAMS });
   simulation.cloudLatencyMs = 2;
   simulation.workers.bootMs = 700;
   simulation.rentalResponseDelayMs = () => HELD_RESPONSE_MS;
@@ -37,7 +38,6 @@
   }
 });
 
-const CONTROLLERS = 3;
 /** Within this time after an upgrade every machine is in one record again: a lease, and some writes. */
 const UPGRADE_MS = 30_000;
 
--- a/test/support/faults.ts
+++ b/test/support/faults.ts
@@ -21,7 +21,8 @@
   for (const link of links) node.cut[link] = false;
 }
 
-async function crash(simulation: Simulation, node: SimulatedNode, downtimeMs: number): Promise<void> {
+/** Crashes a node and starts it again while the simulation runs; `crashAndRestart` advances the simulation itself. */
+export async function crash(simulation: Simulation, node: SimulatedNode, downtimeMs: number): Promise<void> {
   simulation.crash(node);
   await sleep(downtimeMs);
   // Another fault may have restarted the node meanwhile.
--- a/test/support/recorded-machines.ts
+++ b/test/support/recorded-machines.ts
@@ -26,7 +26,7 @@
     const name = `${i % 4 < 2 ? "0" : "z"}-copy-${i}`;
     return { put: `fernpond/live/machines/${name}`, value: { ...group, shard, machines } };
   });
-  for (const copy of copies) store.executeDelayed({ guards: [], apply: [copy] });
+  store.executeDelayed({ guards: [], apply: copies });
 }
 
 /** The machines that more than one group names, as "host shard:stage shard:stage". */
--- a/test/support/rental-schedules.ts
+++ b/test/support/rental-schedules.ts
@@ -3,7 +3,8 @@
  * service transactions that are applied late, and controllers that crash and restart meanwhile.
  */
 import { sleep } from "../../src/runtime/sleep.js";
-import type { Simulation, SimulatedNode } from "./simulation.js";
+import { crash } from "./faults.js";
+import type { Simulation } from "./simulation.js";
 
 /** Held responses come within this time: some before, most after the leader has given the call up. */
 const MAX_HELD_RESPONSE_MS = 8000;
@@ -26,11 +27,8 @@
   };
 }
 
-async function restart(simulation: Simulation, node: SimulatedNode): Promise<void> {
-  simulation.crash(node);
-  await sleep(100 + simulation.randomBelow(chance(simulation, 0.5) ? 500 : 4000));
-  if (node.instance === null) simulation.startNode(node);
-}
+const randomDowntimeMs = (simulation: Simulation): number =>
+  100 + simulation.randomBelow(chance(simulation, 0.5) ? 500 : 4000);
 
 /** Crashes the leader, the owner of a shard or all controllers from time to time. */
 async function crashControllers(simulation: Simulation): Promise<void> {
@@ -41,7 +39,8 @@
     const target = [simulation.leader(), simulation.ownerOf(simulation.randomBelow(nodes.length))][
       simulation.randomBelow(3)
     ];
-    await Promise.all((target === undefined ? nodes : [target]).map((node) => restart(simulation, node)));
+    const crashing = target === undefined ? nodes : [target];
+    await Promise.all(crashing.map((node) => crash(simulation, node, randomDowntimeMs(simulation))));
   }
 }
 
